--- /dev/null
+++ b/src/net.rs
@@ -0,0 +1,693 @@
+//! The event loop: sockets over `mio`, HTTP/1.1 over `httparse`, as a server
+//! on two doors and as a client with kept-open connections.
+
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+
+/// Largest body that a user, worker or controller may send.
+pub const BODY_MAX: usize = 64 * 1024;
+const HEAD_MAX: usize = 8 * 1024;
+/// The state service's watch has no size limit of its own; ours.
+const REPLY_MAX: usize = 16 * 1024 * 1024;
+const WAKE: Token = Token(0);
+const FRONT: Token = Token(1);
+const MESH: Token = Token(2);
+const FIRST_CONN: usize = 16;
+/// A request must be complete within this time of its first byte.
+const REQUEST_S: u64 = 10;
+const IDLE_S: u64 = 120;
+const CLIENT_IDLE_S: u64 = 20;
+
+/// Where a request came in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Door {
+    Front,
+    Mesh,
+}
+
+#[derive(Debug)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub body: Vec<u8>,
+}
+
+/// What a call came to: an answer, or none (it may have been carried out).
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    Answer { status: u16, body: Vec<u8> },
+    Silence,
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Request {
+        conn: usize,
+        door: Door,
+        request: Request,
+    },
+    Reply {
+        tag: u64,
+        outcome: Outcome,
+    },
+}
+
+/// What the core wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    Answer {
+        conn: usize,
+        status: u16,
+        retry_after: Option<u32>,
+        body: Vec<u8>,
+    },
+    Call {
+        tag: u64,
+        to: SocketAddr,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    },
+}
+
+enum Role {
+    Server {
+        door: Door,
+        /// A request was handed on and not answered yet.
+        busy: bool,
+        close: bool,
+        started: Option<Instant>,
+    },
+    Client {
+        to: SocketAddr,
+        call: Option<u64>,
+        deadline: Instant,
+    },
+}
+
+struct Conn {
+    sock: TcpStream,
+    role: Role,
+    input: Vec<u8>,
+    out: Vec<u8>,
+    sent: usize,
+    open: bool,
+    used: Instant,
+    eof: bool,
+}
+
+/// All sockets of the process.
+pub struct Net {
+    poll: Poll,
+    events: Events,
+    front: TcpListener,
+    mesh: TcpListener,
+    conns: HashMap<usize, Conn>,
+    pool: HashMap<SocketAddr, Vec<usize>>,
+    next: usize,
+    servers: usize,
+    server_max: usize,
+    ready: Vec<Event>,
+    swept: Instant,
+    accept_again: bool,
+}
+
+impl Net {
+    pub fn new(front: SocketAddr, mesh: SocketAddr, fd_limit: usize) -> io::Result<Net> {
+        let poll = Poll::new()?;
+        let mut front = TcpListener::bind(front)?;
+        let mut mesh = TcpListener::bind(mesh)?;
+        poll.registry()
+            .register(&mut front, FRONT, Interest::READABLE)?;
+        poll.registry()
+            .register(&mut mesh, MESH, Interest::READABLE)?;
+        Ok(Net {
+            poll,
+            events: Events::with_capacity(256),
+            front,
+            mesh,
+            conns: HashMap::new(),
+            pool: HashMap::new(),
+            next: FIRST_CONN,
+            servers: 0,
+            server_max: (fd_limit / 4 * 3).max(8),
+            ready: Vec::new(),
+            swept: Instant::now(),
+            accept_again: false,
+        })
+    }
+
+    /// For other threads to end a wait.
+    pub fn waker(&self) -> io::Result<Arc<Waker>> {
+        Ok(Arc::new(Waker::new(self.poll.registry(), WAKE)?))
+    }
+
+    /// Waits for at most `wait` and returns what came in.
+    pub fn turn(&mut self, wait: Duration) -> io::Result<Vec<Event>> {
+        let mut events = std::mem::replace(&mut self.events, Events::with_capacity(0));
+        let wait = if self.ready.is_empty() {
+            wait
+        } else {
+            Duration::ZERO
+        };
+        match self.poll.poll(&mut events, Some(wait)) {
+            Ok(()) => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+        for ev in events.iter() {
+            match ev.token() {
+                WAKE => {}
+                FRONT => self.accept(Door::Front),
+                MESH => self.accept(Door::Mesh),
+                Token(id) => {
+                    if ev.is_writable() || ev.is_error() {
+                        self.flush(id);
+                    }
+                    if ev.is_readable() || ev.is_read_closed() || ev.is_error() {
+                        self.read(id);
+                    }
+                }
+            }
+        }
+        self.events = events;
+        let now = Instant::now();
+        if now.duration_since(self.swept) >= Duration::from_millis(50) {
+            self.swept = now;
+            self.sweep(now);
+        }
+        Ok(std::mem::take(&mut self.ready))
+    }
+
+    fn accept(&mut self, door: Door) {
+        loop {
+            let got = match door {
+                Door::Front => self.front.accept(),
+                Door::Mesh => self.mesh.accept(),
+            };
+            let mut sock = match got {
+                Ok((s, _)) => s,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // Out of sockets or an aborted connection: an edge is told
+                // once only, so the sweep tries again.
+                Err(_) => {
+                    self.accept_again = true;
+                    return;
+                }
+            };
+            if self.servers >= self.server_max {
+                self.drop_idlest();
+                if self.servers >= self.server_max {
+                    continue;
+                }
+            }
+            let _ = sock.set_nodelay(true);
+            let id = self.next;
+            self.next += 1;
+            if self
+                .poll
+                .registry()
+                .register(
+                    &mut sock,
+                    Token(id),
+                    Interest::READABLE | Interest::WRITABLE,
+                )
+                .is_err()
+            {
+                continue;
+            }
+            self.servers += 1;
+            self.conns.insert(
+                id,
+                Conn {
+                    sock,
+                    role: Role::Server {
+                        door,
+                        busy: false,
+                        close: false,
+                        started: None,
+                    },
+                    input: Vec::new(),
+                    out: Vec::new(),
+                    sent: 0,
+                    open: true,
+                    used: Instant::now(),
+                    eof: false,
+                },
+            );
+        }
+    }
+
+    /// Makes room for a newcomer: the server connection idle the longest goes.
+    fn drop_idlest(&mut self) {
+        let idlest = self
+            .conns
+            .iter()
+            .filter(|(_, c)| matches!(c.role, Role::Server { busy: false, .. }))
+            .min_by_key(|(_, c)| c.used)
+            .map(|(id, _)| *id);
+        if let Some(id) = idlest {
+            self.close(id);
+        }
+    }
+
+    fn close(&mut self, id: usize) {
+        let Some(mut c) = self.conns.remove(&id) else {
+            return;
+        };
+        let _ = self.poll.registry().deregister(&mut c.sock);
+        match c.role {
+            Role::Server { .. } => self.servers -= 1,
+            Role::Client { to, call, .. } => {
+                if let Some(list) = self.pool.get_mut(&to) {
+                    list.retain(|x| *x != id);
+                }
+                if let Some(tag) = call {
+                    self.ready.push(Event::Reply {
+                        tag,
+                        outcome: Outcome::Silence,
+                    });
+                }
+            }
+        }
+    }
+
+    fn flush(&mut self, id: usize) {
+        let Some(c) = self.conns.get_mut(&id) else {
+            return;
+        };
+        if let Role::Client { .. } = c.role {
+            if !c.open {
+                match c.sock.take_error() {
+                    Ok(None) => match c.sock.peer_addr() {
+                        Ok(_) => c.open = true,
+                        Err(e) if e.kind() == io::ErrorKind::NotConnected => return,
+                        Err(_) => return self.close(id),
+                    },
+                    _ => return self.close(id),
+                }
+            }
+        }
+        while c.sent < c.out.len() {
+            match c.sock.write(&c.out[c.sent..]) {
+                Ok(0) => return self.close(id),
+                Ok(n) => c.sent += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.close(id),
+            }
+        }
+        c.out.clear();
+        c.sent = 0;
+        if let Role::Server {
+            close: true,
+            busy: false,
+            ..
+        } = c.role
+        {
+            self.close(id);
+        }
+    }
+
+    fn read(&mut self, id: usize) {
+        let mut buf = [0u8; 16 * 1024];
+        loop {
+            let Some(c) = self.conns.get_mut(&id) else {
+                return;
+            };
+            let cap = match c.role {
+                Role::Server { .. } => BODY_MAX + HEAD_MAX,
+                Role::Client { .. } => REPLY_MAX,
+            };
+            if c.input.len() > cap {
+                // Nobody reads on beyond what a request may be.
+                break;
+            }
+            match c.sock.read(&mut buf) {
+                Ok(0) => {
+                    c.eof = true;
+                    break;
+                }
+                Ok(n) => {
+                    c.input.extend_from_slice(&buf[..n]);
+                    c.used = Instant::now();
+                    if n < buf.len() {
+                        // A short read empties the socket; mio's edge will
+                        // tell of anything newer.
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.close(id),
+            }
+        }
+        let server = match self.conns.get(&id) {
+            Some(c) => matches!(c.role, Role::Server { .. }),
+            None => return,
+        };
+        if server {
+            self.parse_request(id);
+        } else {
+            self.parse_reply(id);
+        }
+        if let Some(c) = self.conns.get(&id) {
+            if c.eof {
+                let waits = matches!(c.role, Role::Server { busy: true, .. });
+                if !waits || c.out.is_empty() {
+                    self.close(id);
+                }
+            }
+        }
+    }
+
+    fn refuse(&mut self, id: usize, status: u16) {
+        if let Some(c) = self.conns.get_mut(&id) {
+            c.input.clear();
+            if let Role::Server { busy, close, .. } = &mut c.role {
+                *busy = true;
+                *close = true;
+            }
+        }
+        self.answer(id, status, None, &[]);
+    }
+
+    fn parse_request(&mut self, id: usize) {
+        let Some(c) = self.conns.get_mut(&id) else {
+            return;
+        };
+        let Role::Server {
+            door,
+            busy,
+            close,
+            started,
+        } = &mut c.role
+        else {
+            return;
+        };
+        if *busy || c.input.is_empty() {
+            return;
+        }
+        if started.is_none() {
+            *started = Some(Instant::now());
+        }
+        let mut headers = [httparse::EMPTY_HEADER; 48];
+        let mut req = httparse::Request::new(&mut headers);
+        let head = match req.parse(&c.input) {
+            Ok(httparse::Status::Complete(n)) => n,
+            Ok(httparse::Status::Partial) => {
+                if c.input.len() > HEAD_MAX {
+                    self.refuse(id, 431);
+                }
+                return;
+            }
+            Err(_) => return self.refuse(id, 400),
+        };
+        let mut length = 0usize;
+        let mut shut = req.version == Some(0);
+        let mut bad = None;
+        for h in req.headers.iter() {
+            if h.name.eq_ignore_ascii_case("content-length") {
+                match std::str::from_utf8(h.value)
+                    .ok()
+                    .and_then(|v| v.trim().parse::<usize>().ok())
+                {
+                    Some(n) => length = n,
+                    None => bad = Some(400),
+                }
+            } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+                bad = Some(411);
+            } else if h.name.eq_ignore_ascii_case("connection")
+                && h.value.eq_ignore_ascii_case(b"close")
+            {
+                shut = true;
+            }
+        }
+        if length > BODY_MAX {
+            bad = Some(413);
+        }
+        if let Some(status) = bad {
+            return self.refuse(id, status);
+        }
+        if c.input.len() < head + length {
+            return;
+        }
+        let request = Request {
+            method: req.method.unwrap_or("").to_string(),
+            path: req.path.unwrap_or("").to_string(),
+            body: c.input[head..head + length].to_vec(),
+        };
+        c.input.drain(..head + length);
+        *busy = true;
+        *close = shut;
+        *started = None;
+        let door = *door;
+        self.ready.push(Event::Request {
+            conn: id,
+            door,
+            request,
+        });
+    }
+
+    fn parse_reply(&mut self, id: usize) {
+        let Some(c) = self.conns.get_mut(&id) else {
+            return;
+        };
+        let Role::Client { to, call, .. } = &mut c.role else {
+            return;
+        };
+        if call.is_none() {
+            // Nothing was asked: the other side hung up or is confused.
+            if c.eof || !c.input.is_empty() {
+                self.close(id);
+            }
+            return;
+        }
+        let mut headers = [httparse::EMPTY_HEADER; 48];
+        let mut resp = httparse::Response::new(&mut headers);
+        let head = match resp.parse(&c.input) {
+            Ok(httparse::Status::Complete(n)) => n,
+            Ok(httparse::Status::Partial) => {
+                if c.input.len() > 4 * HEAD_MAX {
+                    self.close(id);
+                }
+                return;
+            }
+            Err(_) => return self.close(id),
+        };
+        let status = resp.code.unwrap_or(0);
+        let mut length = None;
+        let mut shut = false;
+        for h in resp.headers.iter() {
+            if h.name.eq_ignore_ascii_case("content-length") {
+                length = std::str::from_utf8(h.value)
+                    .ok()
+                    .and_then(|v| v.trim().parse::<usize>().ok());
+            } else if h.name.eq_ignore_ascii_case("connection")
+                && h.value.eq_ignore_ascii_case(b"close")
+            {
+                shut = true;
+            }
+        }
+        let total = match length {
+            Some(n) if n > REPLY_MAX => return self.close(id),
+            Some(n) => head + n,
+            None if matches!(status, 204 | 304) => head,
+            // Without a length the body ends with the connection.
+            None if c.eof => c.input.len(),
+            None => return,
+        };
+        if c.input.len() < total {
+            return;
+        }
+        let body = c.input[head..total].to_vec();
+        c.input.drain(..total);
+        let tag = call.take();
+        let to = *to;
+        c.used = Instant::now();
+        if let Some(tag) = tag {
+            self.ready.push(Event::Reply {
+                tag,
+                outcome: Outcome::Answer { status, body },
+            });
+        }
+        if shut || c.eof || !c.input.is_empty() || length.is_none() {
+            self.close(id);
+        } else {
+            self.pool.entry(to).or_default().push(id);
+        }
+    }
+
+    /// Answers a request that was handed on.
+    pub fn answer(&mut self, id: usize, status: u16, retry_after: Option<u32>, body: &[u8]) {
+        let Some(c) = self.conns.get_mut(&id) else {
+            return;
+        };
+        let Role::Server { busy, close, .. } = &mut c.role else {
+            return;
+        };
+        if !*busy {
+            return;
+        }
+        *busy = false;
+        if c.eof {
+            *close = true;
+        }
+        let reason = match status {
+            200 => "OK",
+            201 => "Created",
+            400 => "Bad Request",
+            404 => "Not Found",
+            421 => "Misdirected Request",
+            429 => "Too Many Requests",
+            503 => "Service Unavailable",
+            _ => "Answer",
+        };
+        let mut head = format!(
+            "HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n",
+            body.len()
+        );
+        if !body.is_empty() {
+            head.push_str("Content-Type: application/cbor\r\n");
+        }
+        if let Some(s) = retry_after {
+            head.push_str(&format!("Retry-After: {s}\r\n"));
+        }
+        if *close {
+            head.push_str("Connection: close\r\n");
+        }
+        head.push_str("\r\n");
+        c.out.extend_from_slice(head.as_bytes());
+        c.out.extend_from_slice(body);
+        c.used = Instant::now();
+        self.flush(id);
+        // A further request may have come in behind the first.
+        if self.conns.get(&id).is_some_and(|c| !c.input.is_empty()) {
+            self.parse_request(id);
+        }
+    }
+
+    /// Sends a request; the outcome comes as an event with the same tag.
+    pub fn call(
+        &mut self,
+        tag: u64,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        timeout: Duration,
+    ) {
+        let mut msg = format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\n");
+        if !body.is_empty() || method == "POST" {
+            msg.push_str(&format!(
+                "Content-Type: application/cbor\r\nContent-Length: {}\r\n",
+                body.len()
+            ));
+        }
+        msg.push_str("\r\n");
+        let mut out = msg.into_bytes();
+        out.extend_from_slice(body);
+        let now = Instant::now();
+        let deadline = now + timeout;
+        while let Some(id) = self.pool.get_mut(&to).and_then(Vec::pop) {
+            let Some(c) = self.conns.get_mut(&id) else {
+                continue;
+            };
+            if c.eof {
+                self.close(id);
+                continue;
+            }
+            c.role = Role::Client {
+                to,
+                call: Some(tag),
+                deadline,
+            };
+            c.out = out;
+            c.sent = 0;
+            c.used = now;
+            self.flush(id);
+            return;
+        }
+        let fail = Event::Reply {
+            tag,
+            outcome: Outcome::Silence,
+        };
+        let Ok(mut sock) = TcpStream::connect(to) else {
+            self.ready.push(fail);
+            return;
+        };
+        let _ = sock.set_nodelay(true);
+        let id = self.next;
+        self.next += 1;
+        if self
+            .poll
+            .registry()
+            .register(
+                &mut sock,
+                Token(id),
+                Interest::READABLE | Interest::WRITABLE,
+            )
+            .is_err()
+        {
+            self.ready.push(fail);
+            return;
+        }
+        self.conns.insert(
+            id,
+            Conn {
+                sock,
+                role: Role::Client {
+                    to,
+                    call: Some(tag),
+                    deadline,
+                },
+                input: Vec::new(),
+                out,
+                sent: 0,
+                open: false,
+                used: now,
+                eof: false,
+            },
+        );
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        let mut dead = Vec::new();
+        for (id, c) in &self.conns {
+            let idle = now.duration_since(c.used);
+            let gone = match &c.role {
+                Role::Client {
+                    call: Some(_),
+                    deadline,
+                    ..
+                } => now >= *deadline,
+                Role::Client { call: None, .. } => idle.as_secs() >= CLIENT_IDLE_S,
+                Role::Server { busy: true, .. } => false,
+                Role::Server {
+                    started: Some(t), ..
+                } => now.duration_since(*t).as_secs() >= REQUEST_S,
+                Role::Server { .. } => {
+                    idle.as_secs() >= if c.out.is_empty() { IDLE_S } else { REQUEST_S }
+                }
+            };
+            if gone {
+                dead.push(*id);
+            }
+        }
+        for id in dead {
+            self.close(id);
+        }
+        if std::mem::take(&mut self.accept_again) {
+            self.accept(Door::Front);
+            self.accept(Door::Mesh);
+        }
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,214 @@
+//! The state service's client: rate budgets and grouped transactions. What is
+//! asked for waits here until the budget allows; the most urgent goes first.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use crate::net::Outcome;
+use crate::wire::{self, Cond, Txn, TxnReply, Write};
+
+/// A budget per second that allows one second's worth at once.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    rate: f64,
+    tokens: f64,
+    at: u64,
+}
+
+impl Budget {
+    pub fn new(rate: f64) -> Budget {
+        Budget {
+            rate,
+            tokens: rate,
+            at: 0,
+        }
+    }
+    fn fill(&mut self, now: u64) {
+        let dt = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.at = self.at.max(now);
+        self.tokens = (self.tokens + dt * self.rate).min(self.rate);
+    }
+    /// Takes `n` if at least that and `spare` are there.
+    pub fn take(&mut self, now: u64, n: f64, spare: f64) -> bool {
+        self.fill(now);
+        if self.tokens >= n + spare * self.rate {
+            self.tokens -= n;
+            true
+        } else {
+            false
+        }
+    }
+    /// The other side says that it is used up.
+    pub fn empty(&mut self) {
+        self.tokens = self.tokens.min(0.0);
+    }
+}
+
+/// What became of a group of changes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Commit {
+    Done {
+        rev: u64,
+    },
+    Conflict {
+        failed: Vec<String>,
+        rev: u64,
+    },
+    /// Not carried out.
+    Refused,
+    /// May have been carried out, or may yet be.
+    Unknown,
+}
+
+/// Changes that go together.
+#[derive(Debug, Clone)]
+pub struct Item<W> {
+    pub who: W,
+    pub conds: Vec<Cond>,
+    pub writes: Vec<Write>,
+    /// 0 is the most urgent.
+    pub rank: u8,
+}
+
+/// The queue of changes on their way to the state service.
+#[derive(Debug)]
+pub struct Queue<W> {
+    waiting: BTreeMap<u8, VecDeque<Item<W>>>,
+    flying: HashMap<u64, Vec<Item<W>>>,
+    ops_max: usize,
+    budget: Budget,
+}
+
+const BYTES_MAX: usize = 56 * 1024;
+const FLYING_MAX: usize = 3;
+
+fn size(w: &Write) -> usize {
+    // An upper estimate of the JSON form; CBOR of these values is shorter by
+    // at most the quotes and the digits of numbers.
+    wire::encode(w).len() * 3 / 2 + 32
+}
+
+impl<W: Clone> Queue<W> {
+    pub fn new(write_rate: f64, ops_max: usize) -> Queue<W> {
+        Queue {
+            waiting: BTreeMap::new(),
+            flying: HashMap::new(),
+            ops_max,
+            budget: Budget::new(write_rate),
+        }
+    }
+
+    pub fn push(&mut self, item: Item<W>) {
+        self.waiting.entry(item.rank).or_default().push_back(item);
+    }
+
+    pub fn waits(&self) -> usize {
+        self.waiting.values().map(VecDeque::len).sum()
+    }
+
+    /// The next transaction to send, if there is one and the budgets allow.
+    pub fn next(&mut self, now: u64, tag: u64, requests: &mut Budget) -> Option<Txn> {
+        if self.flying.len() >= FLYING_MAX || self.waits() == 0 {
+            return None;
+        }
+        let mut conds: BTreeMap<String, u64> = BTreeMap::new();
+        let mut writes: Vec<Write> = Vec::new();
+        let mut bytes = 0;
+        let mut group = Vec::new();
+        for (rank, list) in self.waiting.iter_mut() {
+            while let Some(item) = list.front() {
+                let ops = writes.len() + item.writes.len();
+                let b: usize = item.writes.iter().map(size).sum::<usize>() + 64 * item.conds.len();
+                let clash = item
+                    .conds
+                    .iter()
+                    .any(|c| conds.get(&c.key).is_some_and(|s| *s != c.stamp));
+                let many = conds.len() + item.conds.len() > 4 * self.ops_max;
+                if !group.is_empty()
+                    && (ops > self.ops_max || bytes + b > BYTES_MAX || clash || many)
+                {
+                    break;
+                }
+                // The leader's changes may use the whole budget, others leave
+                // it some.
+                let spare = if *rank == 0 { 0.0 } else { 0.1 };
+                if !self
+                    .budget
+                    .take(now, item.writes.len().max(1) as f64, spare)
+                {
+                    break;
+                }
+                let Some(item) = list.pop_front() else { break };
+                for c in &item.conds {
+                    conds.insert(c.key.clone(), c.stamp);
+                }
+                writes.extend(item.writes.iter().cloned());
+                bytes += b;
+                group.push(item);
+            }
+        }
+        if group.is_empty() {
+            return None;
+        }
+        if !requests.take(now, 1.0, 0.0) {
+            for item in group.into_iter().rev() {
+                self.waiting.entry(item.rank).or_default().push_front(item);
+            }
+            return None;
+        }
+        self.flying.insert(tag, group);
+        Some(Txn {
+            conds: conds
+                .into_iter()
+                .map(|(key, stamp)| Cond { key, stamp })
+                .collect(),
+            writes,
+        })
+    }
+
+    /// An outcome came in: what it means for each member of the group. Those
+    /// whose own conditions held go back into the queue.
+    pub fn settle(&mut self, tag: u64, outcome: &Outcome) -> Vec<(W, Commit)> {
+        let Some(group) = self.flying.remove(&tag) else {
+            return vec![];
+        };
+        let mut out = Vec::new();
+        let verdict = match outcome {
+            Outcome::Answer { status: 200, body } => match wire::decode::<TxnReply>(body) {
+                Some(r) => Commit::Done { rev: r.rev },
+                None => Commit::Unknown,
+            },
+            Outcome::Answer { status: 409, body } => match wire::decode::<TxnReply>(body) {
+                Some(r) => Commit::Conflict {
+                    failed: r.failed,
+                    rev: r.rev,
+                },
+                None => Commit::Refused,
+            },
+            Outcome::Answer { status: 429, .. } => {
+                self.budget.empty();
+                Commit::Refused
+            }
+            Outcome::Answer { .. } => Commit::Refused,
+            Outcome::Silence => Commit::Unknown,
+        };
+        let alone = group.len() == 1;
+        for item in group {
+            if let Commit::Conflict { failed, .. } = &verdict {
+                let mine = item.conds.iter().any(|c| failed.contains(&c.key));
+                if !mine && !alone {
+                    self.waiting.entry(item.rank).or_default().push_front(item);
+                    continue;
+                }
+            }
+            out.push((item.who, verdict.clone()));
+        }
+        out
+    }
+
+    /// Takes back what still waits and matches.
+    pub fn withdraw(&mut self, f: impl Fn(&W) -> bool) {
+        for list in self.waiting.values_mut() {
+            list.retain(|i| !f(&i.who));
+        }
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,169 @@
+//! The picture of the state service: live jobs, the leader key and the epoch
+//! counter, fed by a watch, and a bounded memory of how jobs ended.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+
+use ciborium::Value;
+use serde::{Deserialize, Serialize};
+
+use crate::job::{Final, Record};
+use crate::wire::{Change, Page};
+
+pub const ROOT: &str = "g/";
+pub const JOBS: &str = "g/j/";
+pub const LEAD: &str = "g/l/";
+pub const LEADER: &str = "g/l/leader";
+pub const EPOCH: &str = "g/l/epoch";
+const FINALS: &str = "g/f/";
+/// How many ended jobs are remembered; others are read again when asked for.
+const FINALS_MAX: usize = 50_000;
+
+pub fn job_key(id: &str) -> String {
+    format!("{JOBS}{id}")
+}
+pub fn final_key(id: &str) -> String {
+    format!("{FINALS}{id}")
+}
+
+/// The leader key's value.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeaderKey {
+    pub member: String,
+    pub epoch: u64,
+}
+
+/// A live job as committed.
+#[derive(Debug, Clone)]
+pub struct Live {
+    pub record: Arc<Record>,
+    pub stamp: u64,
+}
+
+/// What a change of the picture means to the rest of the program.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Seen {
+    Job(String),
+    Gone(String),
+    Leader,
+}
+
+#[derive(Debug, Default)]
+pub struct Picture {
+    pub loaded: bool,
+    pub rev: u64,
+    pub jobs: BTreeMap<String, Live>,
+    pub leader: Option<(LeaderKey, u64)>,
+    pub epoch: u64,
+    pub epoch_stamp: u64,
+    finals: HashMap<String, Final>,
+    order: VecDeque<String>,
+}
+
+impl Picture {
+    /// Forgets everything but the ended jobs, before reading anew.
+    pub fn restart(&mut self) {
+        self.loaded = false;
+        self.rev = 0;
+        self.jobs.clear();
+        self.leader = None;
+        self.epoch = 0;
+        self.epoch_stamp = 0;
+    }
+
+    pub fn page(&mut self, page: &Page) {
+        for p in &page.pairs {
+            self.set(&p.key, &p.data, p.stamp, &mut vec![]);
+        }
+    }
+
+    /// Takes in what a watch told, complete from `from` up to `rev`.
+    pub fn news(&mut self, rev: u64, from: u64, news: &[Change]) -> Vec<Seen> {
+        let mut seen = Vec::new();
+        if from > self.rev {
+            // There would be a hole; can't happen as reads start from `rev`.
+            return seen;
+        }
+        for c in news {
+            if c.stamp <= self.rev {
+                continue;
+            }
+            if let (Some(key), Some(data)) = (&c.set, &c.data) {
+                self.set(key, data, c.stamp, &mut seen);
+            } else if let Some(key) = &c.drop {
+                self.drop(key, c.stamp, &mut seen);
+            }
+        }
+        self.rev = self.rev.max(rev);
+        seen
+    }
+
+    fn set(&mut self, key: &str, data: &Value, stamp: u64, seen: &mut Vec<Seen>) {
+        if let Some(id) = key.strip_prefix(JOBS) {
+            // The answer to an own change may be ahead of the watch.
+            if self.jobs.get(id).is_some_and(|l| l.stamp >= stamp) {
+                return;
+            }
+            match Record::from_value(data) {
+                Some(r) => {
+                    self.jobs.insert(
+                        id.to_string(),
+                        Live {
+                            record: Arc::new(r),
+                            stamp,
+                        },
+                    );
+                    seen.push(Seen::Job(id.to_string()));
+                }
+                None => tracing::error!("the record of {id} can't be read"),
+            }
+        } else if let Some(id) = key.strip_prefix(FINALS) {
+            if let Some(f) = Final::from_value(data) {
+                self.ended(id, f);
+                self.jobs.remove(id);
+                seen.push(Seen::Gone(id.to_string()));
+            }
+        } else if key == LEADER {
+            if let Ok(l) = data.deserialized::<LeaderKey>() {
+                if self.leader.as_ref().is_none_or(|x| x.1 < stamp) {
+                    self.leader = Some((l, stamp));
+                    seen.push(Seen::Leader);
+                }
+            }
+        } else if key == EPOCH && stamp > self.epoch_stamp {
+            self.epoch = data
+                .as_integer()
+                .and_then(|i| u64::try_from(i128::from(i)).ok())
+                .unwrap_or(0)
+                .max(self.epoch);
+            self.epoch_stamp = stamp;
+        }
+    }
+
+    fn drop(&mut self, key: &str, stamp: u64, seen: &mut Vec<Seen>) {
+        if let Some(id) = key.strip_prefix(JOBS) {
+            self.jobs.remove(id);
+            seen.push(Seen::Gone(id.to_string()));
+        } else if key == LEADER && self.leader.as_ref().is_some_and(|l| l.1 < stamp) {
+            // An own election may be ahead of the watch, which tells of the
+            // old key's end only now.
+            self.leader = None;
+            seen.push(Seen::Leader);
+        }
+    }
+
+    pub fn ended(&mut self, id: &str, f: Final) {
+        if self.finals.insert(id.to_string(), f).is_none() {
+            self.order.push_back(id.to_string());
+            if self.order.len() > FINALS_MAX {
+                if let Some(old) = self.order.pop_front() {
+                    self.finals.remove(&old);
+                }
+            }
+        }
+    }
+
+    pub fn end_of(&self, id: &str) -> Option<Final> {
+        self.finals.get(id).copied()
+    }
+}
