--- a/src/control.rs
+++ b/src/control.rs
@@ -612,7 +612,7 @@
                     // They complete together: if one is done, all are.
                     let n = j.spec.tasks;
                     j.done.fill(n);
-                } else {
+                } else if j.spec.shape == Shape::Array {
                     j.done.insert(task);
                 }
                 j.tries = 0;
--- a/src/job.rs
+++ b/src/job.rs
@@ -9,6 +9,9 @@
     Array,
     #[serde(rename = "g")]
     Gang,
+    /// Placed like an array; its tasks run until the job is cancelled.
+    #[serde(rename = "s")]
+    Service,
 }
 
 /// In rising order.
--- a/src/node.rs
+++ b/src/node.rs
@@ -1080,6 +1080,7 @@
                 return self.fault(caller, 405, None, "only POST here");
             }
             let Some((id, spec)) = wire::submission(&body) else {
+                debug!("malformed submission: {}", wire::readable(&body));
                 return self.fault(caller, 400, None, "malformed submission");
             };
             (id, Ask::Submit(Box::new(spec)))
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -332,6 +332,14 @@
     }
 }
 
+/// A body as people can read it, for the log.
+pub fn readable(body: &[u8]) -> String {
+    match ciborium::from_reader::<Value, _>(body) {
+        Ok(v) => format!("{v:?}").chars().take(2000).collect(),
+        Err(_) => format!("{} bytes, not CBOR", body.len()),
+    }
+}
+
 /// Reads a submission; `None` stands for malformed.
 pub fn submission(body: &[u8]) -> Option<(String, Spec)> {
     let v: Value = ciborium::from_reader(body).ok()?;
@@ -343,6 +351,7 @@
     let shape = match text(m, "shape", 16)?.as_str() {
         "sweep" => Shape::Array,
         "group" => Shape::Gang,
+        "service" => Shape::Service,
         _ => return None,
     };
     let urgency = match text(m, "urgency", 16)?.as_str() {
