--- a/src/control.rs
+++ b/src/control.rs
@@ -389,7 +389,7 @@
         let Some(j) = self.jobs.get(id) else { return };
         let grace = j.spec.save_s;
         let tasks: Vec<u32> = match j.spec.shape {
-            Shape::Array => vec![task],
+            Shape::Array | Shape::Service => vec![task],
             Shape::Gang => j.placed.iter().map(|p| p.task).collect(),
         };
         for t in tasks {
