--- a/src/control.rs
+++ b/src/control.rs
@@ -369,6 +369,12 @@
         let Some(p) = j.placed.iter_mut().find(|p| p.task == task) else {
             return;
         };
+        if p.ver > 0 && p.sent.is_none() && p.phase.is_none() {
+            // Its start has not gone out, and will not: no report can ever
+            // prove the place empty, so it is struck off here.
+            self.unplace(id, task);
+            return;
+        }
         match &mut p.stop {
             Some(s) if s.grace_s <= grace_s => return,
             _ => {
