--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -21,6 +21,8 @@
     pub count: u32,
     /// The zone that the job is bound to, if any.
     pub zone: Option<String>,
+    /// Work for spot machines that is worth an ordinary one.
+    pub dear: bool,
 }
 
 /// A machine on its way, or one that will be rented now.
@@ -79,6 +81,7 @@
                             spot,
                         };
                         if !allowed(&need.spec, &f.sku, zone, spot)
+                            || (need.spec.spot && !spot && !need.dear)
                             || need.zone.as_ref().is_some_and(|z| z != zone)
                             || blocked(&kind)
                         {
--- a/src/control.rs
+++ b/src/control.rs
@@ -206,8 +206,31 @@
     pub dirty: bool,
     listed_once: bool,
     deletes: HashMap<String, u64>,
+    /// How often work came that needs ordinary machines, by class.
+    arrivals: BTreeMap<String, Arrivals>,
 }
 
+/// How often jobs of a class come, the older the less it counts.
+#[derive(Debug)]
+struct Arrivals {
+    spec: Arc<Spec>,
+    weight: f64,
+    at: u64,
+}
+
+impl Arrivals {
+    fn fade(&self, now: u64, boot_s: f64) -> f64 {
+        let dt = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.weight * (-dt / (FADE_BOOTS * boot_s)).exp()
+    }
+    fn rate(&self, now: u64, boot_s: f64) -> f64 {
+        self.fade(now, boot_s) / (FADE_BOOTS * boot_s)
+    }
+}
+
+/// How far back arrivals count, in boot times.
+const FADE_BOOTS: f64 = 3.0;
+
 const ORDERS_MAX: usize = 300;
 const WANT_MAX: usize = 256;
 
@@ -239,6 +262,7 @@
             dirty: true,
             listed_once: false,
             deletes: HashMap::new(),
+            arrivals: BTreeMap::new(),
         };
         for (id, live) in &picture.jobs {
             c.job_seen(id, live, now);
@@ -285,6 +309,22 @@
             }
             return;
         }
+        if !r.spec.spot && !r.cancelled {
+            let boot = self.boot_s();
+            let spec = Arc::new(r.spec.clone());
+            let n = f64::from(r.spec.tasks);
+            let a = self
+                .arrivals
+                .entry(r.spec.class.clone())
+                .or_insert(Arrivals {
+                    spec: spec.clone(),
+                    weight: 0.0,
+                    at: now,
+                });
+            a.weight = a.fade(now, boot) + n;
+            a.at = now;
+            a.spec = spec;
+        }
         let mut placed = Vec::new();
         for Run(first, count, attempt, host) in &r.runs {
             for task in *first..first.saturating_add(*count).min(r.spec.tasks) {
@@ -1003,6 +1043,7 @@
         let again = 4000;
         let mut delete = Vec::new();
         let names: Vec<String> = self.fleet.keys().cloned().collect();
+        let kept = self.kept(now).0;
         for n in names {
             self.settle_idle(&n, now);
             let m = &self.fleet[&n];
@@ -1026,6 +1067,7 @@
                     .idle_since
                     .is_some_and(|t| now > t + Self::ms(idle * boot))
                     && m.heard.is_some()
+                    && !kept.contains(&n)
                 {
                     Some("it is idle")
                 } else {
@@ -1223,6 +1265,119 @@
         ((self.cl.state.value_kb * 1024.0 - 1500.0) / 80.0).max(4.0) as usize
     }
 
+    /// Jobs for spot machines that are worth an ordinary one: they would be
+    /// late if they waited their turn, and would not be on a new machine.
+    fn dear(&self, wall: u64) -> HashSet<String> {
+        // How fast the machines that are there work off what waits.
+        let mut slots = 0.0;
+        let mut work = 0.0;
+        let mut queue = Vec::new();
+        for (id, j) in self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.spec.spot && !j.cancelled)
+        {
+            let n = j.placed.len() as f64;
+            slots += n;
+            work += n * j.spec.expected_s;
+            let open = f64::from(j.spec.tasks) - j.done.len() as f64 - n;
+            if open > 0.0 {
+                let left = j
+                    .spec
+                    .due_s
+                    .map_or(f64::INFINITY, |d| d + (j.at as f64 - wall as f64) / 1000.0);
+                queue.push((left - j.spec.expected_s, left, open, id, &j.spec));
+            }
+        }
+        if slots == 0.0 {
+            // Nothing runs yet: what is on its way will work off the queue.
+            let coming = self.fleet.values().filter(|m| m.spot).count() as u64
+                + self.bookings.iter().map(|b| b.count).sum::<u64>();
+            slots = coming as f64;
+        }
+        let mean_s = if slots > 0.0 { work / slots } else { 0.0 };
+        let boot = self.flavors.iter().map(|f| f.boot_s).fold(0.0, f64::max);
+        let fetch = self.flavors.iter().map(|f| f.fetch).fold(0.01, f64::max);
+        queue.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut ahead = 0.0;
+        let mut out = HashSet::new();
+        for (slack, left, open, id, spec) in queue {
+            ahead += open;
+            let wait = if slots > 0.0 {
+                ahead / slots * mean_s
+            } else {
+                f64::INFINITY
+            };
+            let soonest = boot + spec.image_gb / fetch + spec.expected_s;
+            if (slots == 0.0 && self.spot_is_out())
+                || (wait > slack && soonest < left * self.op.dear_due)
+            {
+                out.insert(id.clone());
+            }
+        }
+        out
+    }
+
+    /// Every kind of spot machine was refused lately.
+    fn spot_is_out(&self) -> bool {
+        self.flavors.iter().all(|f| {
+            f.halls.iter().all(|h| {
+                self.blocked.contains_key(&Kind {
+                    flavor: f.sku.clone(),
+                    zone: h.clone(),
+                    spot: true,
+                })
+            })
+        })
+    }
+
+    /// Ordinary machines to hold ready for work that spot machines must not
+    /// take, by how often such work came lately; and what of that is missing.
+    fn kept(&self, now: u64) -> (HashSet<String>, Vec<Need>) {
+        let mut kept = HashSet::new();
+        let mut missing = Vec::new();
+        let boot = self.boot_s();
+        for c in self.arrivals.values() {
+            let rate = c.rate(now, boot);
+            let want = (rate * boot * self.op.reserve_boots).round() as usize;
+            let need = Room::of(&c.spec);
+            let mut able: Vec<(bool, &Machine)> = self
+                .fleet
+                .values()
+                .filter(|m| {
+                    !m.spot
+                        && m.leaving.is_none()
+                        && !kept.contains(&m.name)
+                        && plan::allowed(&c.spec, &m.flavor, &m.zone, false)
+                        && self
+                            .flavor(&m.flavor)
+                            .is_some_and(|f| cloud::room(f).fits(need))
+                        && !self
+                            .jobs
+                            .values()
+                            .any(|j| !j.spec.spot && j.placed.iter().any(|p| p.host == m.name))
+                })
+                .map(|m| (m.idle_since.is_none(), m))
+                .collect();
+            able.sort_by(|a, b| (a.0, &a.1.name).cmp(&(b.0, &b.1.name)));
+            if want > able.len() {
+                missing.push(Need {
+                    spec: c.spec.clone(),
+                    count: (want - able.len()) as u32,
+                    zone: None,
+                    dear: true,
+                });
+            }
+            let want = want.min(able.len());
+            kept.extend(able[..want].iter().map(|m| m.1.name.clone()));
+        }
+        (kept, missing)
+    }
+
+    fn boot_s(&self) -> f64 {
+        self.flavors.iter().map(|f| f.boot_s).fold(1.0, f64::max)
+    }
+
     /// `wall` is the time of day in milliseconds, as job records hold it.
     pub fn snapshot(&mut self, now: u64, wall: u64) -> Snapshot {
         self.dirty = false;
@@ -1310,7 +1465,7 @@
     }
 
     /// Carries out what was planned, as far as it still holds.
-    pub fn apply(&mut self, d: Decision, now: u64) {
+    pub fn apply(&mut self, d: Decision, now: u64, wall: u64) {
         for p in d.places {
             self.place(&p, now);
         }
@@ -1336,7 +1491,7 @@
                 j.miss_until = now + Self::ms(wait);
             }
         }
-        self.buy(&d.unmet, now);
+        self.buy(&d.unmet, now, wall);
     }
 
     fn place(&mut self, p: &plan::Place, now: u64) {
@@ -1405,8 +1560,9 @@
         self.holds.retain(|h| h.job != p.job);
     }
 
-    fn buy(&mut self, unmet: &[(String, u32)], now: u64) {
+    fn buy(&mut self, unmet: &[(String, u32)], now: u64, wall: u64) {
         let mut needs = Vec::new();
+        let dear = self.dear(wall);
         for (id, n) in unmet {
             let Some(j) = self.jobs.get(id) else { continue };
             if j.cancelled {
@@ -1421,8 +1577,10 @@
                 spec: j.spec.clone(),
                 count: *n,
                 zone,
+                dear: dear.contains(id),
             });
         }
+        needs.extend(self.kept(now).1);
         if needs.is_empty() {
             return;
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1471,7 +1471,7 @@
         self.now = now;
         self.planning = false;
         if let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) {
-            c.apply(d, now.steady);
+            c.apply(d, now.steady, now.wall);
         }
         self.pump();
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -148,6 +148,12 @@
     pub idle_boots: f64,
     /// The same for a spot machine.
     pub idle_boots_spot: f64,
+    /// Ordinary machines held ready for work that can't use spot ones, as a
+    /// share of what comes in one boot time.
+    pub reserve_boots: f64,
+    /// An ordinary machine is rented for spot work if that would be done
+    /// within this many times the time left.
+    pub dear_due: f64,
     /// Longest backoff of a gang that found no room, in seconds.
     pub backoff_max_s: f64,
 }
@@ -158,8 +164,10 @@
             leader_life_reports: 1.0,
             silent_reports: 2.0,
             lost_lease_share: 0.5,
-            idle_boots: 1.0,
-            idle_boots_spot: 1.0,
+            idle_boots: 0.15,
+            idle_boots_spot: 0.5,
+            reserve_boots: 0.8,
+            dear_due: 0.01,
             backoff_max_s: 10.0,
         }
     }
@@ -255,6 +263,8 @@
         positive("lost_lease_share", o.lost_lease_share)?;
         positive("idle_boots", o.idle_boots)?;
         positive("idle_boots_spot", o.idle_boots_spot)?;
+        positive("reserve_boots", o.reserve_boots)?;
+        positive("dear_due", o.dear_due)?;
         positive("backoff_max_s", o.backoff_max_s)?;
         Ok(o)
     }
