--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -1,9 +1,9 @@
 //! What to buy: from the tasks without a place to rentals, by price. Pure.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use crate::job::Spec;
-use crate::plan::{allowed, Room};
+use crate::plan::{allowed, zone_cap, Room};
 use crate::wire::Flavor;
 
 /// One kind of machine that the cloud rents.
@@ -19,12 +19,21 @@
 pub struct Need {
     pub spec: std::sync::Arc<Spec>,
     pub count: u32,
-    /// The zone that the job is bound to, if any.
-    pub zone: Option<String>,
+    /// Where its other tasks are.
+    pub zones: BTreeMap<String, u32>,
     /// Work for spot machines that is worth an ordinary one.
     pub dear: bool,
 }
 
+impl Need {
+    /// Whether one more of its tasks may go to a zone.
+    fn zone_ok(&self, zone: &str, used: &BTreeMap<String, u32>) -> bool {
+        let elsewhere = used.iter().any(|(z, n)| *n > 0 && z != zone);
+        !(self.spec.one_zone && elsewhere)
+            && used.get(zone).copied().unwrap_or(0) < zone_cap(&self.spec)
+    }
+}
+
 /// A machine on its way, or one that will be rented now.
 #[derive(Debug, Clone)]
 pub struct Coming {
@@ -47,90 +56,154 @@
     })
 }
 
+/// What is decided on so far.
+#[derive(Clone)]
+struct Basket {
+    coming: Vec<Coming>,
+    bought: Vec<(Kind, u64)>,
+    total: usize,
+    price: f64,
+}
+
+struct Market<'a> {
+    flavors: &'a [Flavor],
+    blocked: &'a dyn Fn(&Kind) -> bool,
+    most: usize,
+}
+
 /// Decides what to rent so that every need has a place on what is coming.
 pub fn shop(
     needs: &[Need],
-    mut coming: Vec<Coming>,
+    coming: Vec<Coming>,
     flavors: &[Flavor],
     blocked: &dyn Fn(&Kind) -> bool,
     most: usize,
 ) -> Vec<(Kind, u64)> {
-    let mut bought: HashMap<Kind, u64> = HashMap::new();
-    let mut order: Vec<Kind> = Vec::new();
-    let mut total = 0;
+    let market = Market {
+        flavors,
+        blocked,
+        most,
+    };
+    let mut basket = Basket {
+        coming,
+        bought: vec![],
+        total: 0,
+        price: 0.0,
+    };
     for (n, need) in needs.iter().enumerate() {
+        let later = &needs[n + 1..];
+        if !need.spec.one_zone || need.zones.values().any(|c| *c > 0) {
+            market.fill(need, later, &need.zones, &mut basket);
+            continue;
+        }
+        // All in one zone: the one where the least is left over, then the
+        // cheapest.
+        let mut zones: Vec<&String> = flavors.iter().flat_map(|f| &f.halls).collect();
+        zones.sort();
+        zones.dedup();
+        let best = zones
+            .into_iter()
+            .map(|z| {
+                let mut b = basket.clone();
+                let only = BTreeMap::from([(z.clone(), 1)]);
+                let left = market.fill(need, later, &only, &mut b);
+                (left, b)
+            })
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.price.total_cmp(&b.1.price)));
+        if let Some((_, b)) = best {
+            basket = b;
+        }
+    }
+    basket.bought
+}
+
+impl Market<'_> {
+    /// Finds places for one need on what is coming, buys for the rest, and
+    /// tells how many tasks are left over.
+    fn fill(
+        &self,
+        need: &Need,
+        later: &[Need],
+        zones: &BTreeMap<String, u32>,
+        b: &mut Basket,
+    ) -> u32 {
         let room_of = Room::of(&need.spec);
+        let mut used = zones.clone();
         let mut left = need.count;
-        for c in coming.iter_mut() {
-            let ok = allowed(&need.spec, &c.kind.flavor, &c.kind.zone, c.kind.spot)
-                && need.zone.as_ref().is_none_or(|z| *z == c.kind.zone);
-            while ok && left > 0 && c.free.fits(room_of) {
+        let take = |c: &mut Coming, left: &mut u32, used: &mut BTreeMap<String, u32>| {
+            while *left > 0 && c.free.fits(room_of) && need.zone_ok(&c.kind.zone, used) {
                 c.free.sub(room_of);
-                left -= 1;
+                *used.entry(c.kind.zone.clone()).or_insert(0) += 1;
+                *left -= 1;
             }
-        }
-        while left > 0 && total < most {
-            // What later jobs of the same kind could still put on it counts.
-            let mut best: Option<(f64, Kind, Room)> = None;
-            for f in flavors {
-                for zone in &f.halls {
-                    for spot in [true, false] {
-                        let kind = Kind {
-                            flavor: f.sku.clone(),
-                            zone: zone.clone(),
-                            spot,
-                        };
-                        if !allowed(&need.spec, &f.sku, zone, spot)
-                            || (need.spec.spot && !spot && !need.dear)
-                            || need.zone.as_ref().is_some_and(|z| z != zone)
-                            || blocked(&kind)
-                        {
-                            continue;
-                        }
-                        let fit = room(f).times(room_of);
-                        if fit == 0 {
-                            continue;
-                        }
-                        let price = if spot { f.spot_price } else { f.hourly };
-                        let mut used = fit.min(left);
-                        if used < fit {
-                            let more: u32 = needs[n + 1..]
-                                .iter()
-                                .filter(|o| allowed(&o.spec, &f.sku, zone, spot))
-                                .map(|o| o.count)
-                                .sum();
-                            used = fit.min(left + more);
-                        }
-                        let per = price / f64::from(used);
-                        if best.as_ref().is_none_or(|b| per < b.0 - 1e-9) {
-                            best = Some((per, kind, room(f)));
-                        }
-                    }
-                }
+        };
+        for c in b.coming.iter_mut() {
+            if allowed(&need.spec, &c.kind.flavor, &c.kind.zone, c.kind.spot) {
+                take(c, &mut left, &mut used);
             }
-            let Some((_, kind, mut free)) = best else {
+        }
+        while left > 0 && b.total < self.most {
+            let Some((price, kind, free)) = self.cheapest(need, later, left, &used) else {
                 break;
             };
-            while left > 0 && free.fits(room_of) {
-                free.sub(room_of);
-                left -= 1;
-            }
-            coming.push(Coming {
+            let mut c = Coming {
                 kind: kind.clone(),
                 free,
-            });
-            if !bought.contains_key(&kind) {
-                order.push(kind.clone());
+            };
+            take(&mut c, &mut left, &mut used);
+            b.coming.push(c);
+            b.price += price;
+            b.total += 1;
+            match b.bought.iter_mut().find(|x| x.0 == kind) {
+                Some(x) => x.1 += 1,
+                None => b.bought.push((kind, 1)),
+            }
+        }
+        left
+    }
+
+    /// The kind with the lowest price for each task that would go on it.
+    fn cheapest(
+        &self,
+        need: &Need,
+        later: &[Need],
+        left: u32,
+        used: &BTreeMap<String, u32>,
+    ) -> Option<(f64, Kind, Room)> {
+        let mut best: Option<(f64, f64, Kind, Room)> = None;
+        for f in self.flavors {
+            let fit = room(f).times(Room::of(&need.spec));
+            if fit == 0 {
+                continue;
+            }
+            for zone in &f.halls {
+                for spot in [true, false] {
+                    let kind = Kind {
+                        flavor: f.sku.clone(),
+                        zone: zone.clone(),
+                        spot,
+                    };
+                    if !allowed(&need.spec, &f.sku, zone, spot)
+                        || (need.spec.spot && !spot && !need.dear)
+                        || !need.zone_ok(zone, used)
+                        || (self.blocked)(&kind)
+                    {
+                        continue;
+                    }
+                    let price = if spot { f.spot_price } else { f.hourly };
+                    // What later jobs could still put on it counts.
+                    let more: u32 = later
+                        .iter()
+                        .filter(|o| allowed(&o.spec, &f.sku, zone, spot))
+                        .map(|o| o.count)
+                        .sum();
+                    let per = price / f64::from(fit.min(left.saturating_add(more)).max(1));
+                    if best.as_ref().is_none_or(|b| per < b.0 - 1e-9) {
+                        best = Some((per, price, kind, room(f)));
+                    }
+                }
             }
-            *bought.entry(kind).or_insert(0) += 1;
-            total += 1;
         }
+        best.map(|b| (b.1, b.2, b.3))
     }
-    order
-        .into_iter()
-        .map(|k| {
-            let n = bought.get(&k).copied().unwrap_or(0);
-            (k, n)
-        })
-        .collect()
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1364,7 +1364,7 @@
                 missing.push(Need {
                     spec: c.spec.clone(),
                     count: (want - able.len()) as u32,
-                    zone: None,
+                    zones: BTreeMap::new(),
                     dear: true,
                 });
             }
@@ -1560,24 +1560,21 @@
         self.holds.retain(|h| h.job != p.job);
     }
 
-    fn buy(&mut self, unmet: &[(String, u32)], now: u64, wall: u64) {
+    fn buy(&mut self, unmet: &[plan::Unmet], now: u64, wall: u64) {
         let mut needs = Vec::new();
         let dear = self.dear(wall);
-        for (id, n) in unmet {
-            let Some(j) = self.jobs.get(id) else { continue };
+        for u in unmet {
+            let Some(j) = self.jobs.get(&u.job) else {
+                continue;
+            };
             if j.cancelled {
                 continue;
             }
-            let zone = if j.spec.one_zone {
-                self.zones_of(id, j).into_iter().next().map(|z| z.0)
-            } else {
-                None
-            };
             needs.push(Need {
                 spec: j.spec.clone(),
-                count: *n,
-                zone,
-                dear: dear.contains(id),
+                count: u.count,
+                zones: u.zones.clone(),
+                dear: dear.contains(&u.job),
             });
         }
         needs.extend(self.kept(now).1);
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -199,7 +199,15 @@
     /// Gangs without room: they back off.
     pub failed: Vec<String>,
     /// Tasks for which machines would have to be had, in queue order.
-    pub unmet: Vec<(String, u32)>,
+    pub unmet: Vec<Unmet>,
+}
+
+/// Tasks of a job that found no room, and where the others are or would be.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Unmet {
+    pub job: String,
+    pub count: u32,
+    pub zones: BTreeMap<String, u32>,
 }
 
 /// Whether a machine is one that the job allows, other tasks aside.
@@ -212,7 +220,8 @@
         && spec.zone.as_ref().is_none_or(|z| z == zone)
 }
 
-fn zone_cap(spec: &Spec) -> u32 {
+/// How many of a job's tasks may be in one zone.
+pub fn zone_cap(spec: &Spec) -> u32 {
     if spec.spread {
         spec.tasks.div_ceil(2)
     } else {
@@ -466,6 +475,11 @@
         let gang = job.spec.shape == Shape::Gang;
         if gang && (room as usize) < job.want.len() {
             d.failed.push(job.id.clone());
+            // What its team has left is not for later jobs to nibble at, or a
+            // large gang never starts.
+            if let Some(t) = s.teams.get_mut(&job.spec.team) {
+                t.take(need, job.want.len() as f64);
+            }
             continue;
         }
         let mut want = job.want.clone();
@@ -536,7 +550,21 @@
         if left == 0 {
             continue;
         }
-        d.unmet.push((job.id.clone(), left as u32));
+        let mut zones = job.zones.clone();
+        if gang {
+            // Part of it may have room already: only the rest is missing.
+            if let Some(p) = best_fit(&s, &job, &want, false, 0) {
+                left -= p.tasks.len();
+                for (_, i) in &p.tasks {
+                    *zones.entry(s.machines[*i].zone.clone()).or_insert(0) += 1;
+                }
+            }
+        }
+        d.unmet.push(Unmet {
+            job: job.id.clone(),
+            count: left as u32,
+            zones,
+        });
     }
     d
 }
