--- a/src/plan.rs
+++ b/src/plan.rs
@@ -467,14 +467,16 @@
     let mut d = Decision::default();
     for i in order(&s) {
         let job = s.jobs[i].clone();
-        if job.want.is_empty() || job.resting {
+        if job.want.is_empty() {
             continue;
         }
         let need = Room::of(&job.spec);
         let room = s.teams.get(&job.spec.team).map_or(0, |t| t.allows(need));
         let gang = job.spec.shape == Shape::Gang;
         if gang && (room as usize) < job.want.len() {
-            d.failed.push(job.id.clone());
+            if !job.resting {
+                d.failed.push(job.id.clone());
+            }
             // What its team has left is not for later jobs to nibble at, or a
             // large gang never starts.
             if let Some(t) = s.teams.get_mut(&job.spec.team) {
@@ -482,6 +484,9 @@
             }
             continue;
         }
+        if job.resting {
+            continue;
+        }
         let mut want = job.want.clone();
         want.truncate(room as usize);
         if want.is_empty() {
