--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -293,8 +293,8 @@
 #[derive(Default)]
 pub struct Cloud {
     pub machines: BTreeMap<String, Rented>,
-    bookings: HashMap<String, Vec<String>>,
-    next: u64,
+    pub bookings: HashMap<String, Vec<String>>,
+    pub next: u64,
     pub boot_ms: u64,
     pub most: usize,
 }
