Queue by slack plus work left; ordinary machines for long queues within a price bound

Also: held room gives way to more urgent gangs and is given up when it can't serve any more (DESIGN, the KEP's delayed preemption).

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -21,8 +21,9 @@
     pub count: u32,
     /// Where its other tasks are.
     pub zones: BTreeMap<String, u32>,
-    /// Work for spot machines that is worth an ordinary one.
-    pub dear: bool,
+    /// Work for spot machines may have an ordinary one that costs at most
+    /// this many times as much a task; 0: none.
+    pub dear: f64,
 }
 
 impl Need {
@@ -171,8 +172,14 @@
         used: &BTreeMap<String, u32>,
     ) -> Option<(f64, Kind, Room)> {
         let mut best: Option<(f64, f64, Kind, Room)> = None;
+        let need_room = Room::of(&need.spec);
+        let spot_price = self
+            .flavors
+            .iter()
+            .map(|f| f.spot_price / f64::from(room(f).times(need_room)))
+            .fold(f64::INFINITY, f64::min);
         for f in self.flavors {
-            let fit = room(f).times(Room::of(&need.spec));
+            let fit = room(f).times(need_room);
             if fit == 0 {
                 continue;
             }
@@ -184,7 +191,9 @@
                         spot,
                     };
                     if !allowed(&need.spec, &f.sku, zone, spot)
-                        || (need.spec.spot && !spot && !need.dear)
+                        || (need.spec.spot
+                            && !spot
+                            && f.hourly / f64::from(fit) > need.dear * spot_price)
                         || !need.zone_ok(zone, used)
                         || (self.blocked)(&kind)
                     {
--- a/src/control.rs
+++ b/src/control.rs
@@ -10,7 +10,9 @@
 use crate::cloud::{self, Coming, Kind, Need};
 use crate::fleet::{Cause, Listed, Machine, Phase};
 use crate::job::{task_name, Final, Ranges, Record, Run, Shape, Spec};
-use crate::plan::{self, Decision, JobView, MachineView, Room, Snapshot, TaskView, TeamView};
+use crate::plan::{
+    self, Decision, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView,
+};
 use crate::settings::{Cluster, Operator};
 use crate::state::Commit;
 use crate::store::{final_key, job_key, Live, Picture, LEADER};
@@ -1024,14 +1026,35 @@
         for (id, t) in lost {
             self.unplace(&id, t);
         }
-        let wait = Self::ms(self.cl.workers.lease_s);
-        let fleet = &self.fleet;
-        self.holds.retain(|h| {
-            now < h.since + wait
-                && fleet
+        self.release_holds(now);
+    }
+
+    /// Held room is given up once it can't serve any more: a machine of it
+    /// is gone, or all victims have left and the gang still has no place.
+    /// The gang may then choose victims anew.
+    fn release_holds(&mut self, now: u64) {
+        let settle = Self::ms(2.0 * self.cl.workers.report_s);
+        let lost: HashSet<String> = self
+            .holds
+            .iter()
+            .filter(|h| {
+                let there = self
+                    .fleet
                     .get(&h.host)
-                    .is_some_and(|m| m.leaving.is_none() && m.reclaim_at.is_none())
-        });
+                    .is_some_and(|m| m.leaving.is_none() && m.reclaim_at.is_none());
+                let leaving = self.jobs.values().any(|j| {
+                    j.placed
+                        .iter()
+                        .any(|p| p.host == h.host && p.stop.is_some())
+                });
+                !there || (!leaving && now > h.since + settle)
+            })
+            .map(|h| h.job.clone())
+            .collect();
+        if !lost.is_empty() {
+            self.holds.retain(|h| !lost.contains(&h.job));
+            self.dirty = true;
+        }
     }
 
     fn reap(&mut self, now: u64) {
@@ -1265,18 +1288,18 @@
         ((self.cl.state.value_kb * 1024.0 - 1500.0) / 80.0).max(4.0) as usize
     }
 
-    /// Jobs for spot machines that are worth an ordinary one: they would be
-    /// late if they waited their turn, and would not be on a new machine.
+    /// Jobs for spot machines that are worth an ordinary one: at the rate at
+    /// which the machines that are there work off the queue, they would wait
+    /// very long.
     fn dear(&self, wall: u64) -> HashSet<String> {
-        // How fast the machines that are there work off what waits.
         let mut slots = 0.0;
         let mut work = 0.0;
         let mut queue = Vec::new();
-        for (id, j) in self
+        let jobs = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.spec.spot && !j.cancelled)
-        {
+            .filter(|(_, j)| j.spec.spot && !j.cancelled);
+        for (id, j) in jobs {
             let n = j.placed.len() as f64;
             slots += n;
             work += n * j.spec.expected_s;
@@ -1286,7 +1309,7 @@
                     .spec
                     .due_s
                     .map_or(f64::INFINITY, |d| d + (j.at as f64 - wall as f64) / 1000.0);
-                queue.push((left - j.spec.expected_s, left, open, id, &j.spec));
+                queue.push((left - j.spec.expected_s, open, id));
             }
         }
         if slots == 0.0 {
@@ -1296,22 +1319,14 @@
             slots = coming as f64;
         }
         let mean_s = if slots > 0.0 { work / slots } else { 0.0 };
-        let boot = self.flavors.iter().map(|f| f.boot_s).fold(0.0, f64::max);
-        let fetch = self.flavors.iter().map(|f| f.fetch).fold(0.01, f64::max);
+        let longest = self.op.dear_wait_boots * self.boot_s();
         queue.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut ahead = 0.0;
         let mut out = HashSet::new();
-        for (slack, left, open, id, spec) in queue {
+        for (_, open, id) in queue {
             ahead += open;
-            let wait = if slots > 0.0 {
-                ahead / slots * mean_s
-            } else {
-                f64::INFINITY
-            };
-            let soonest = boot + spec.image_gb / fetch + spec.expected_s;
-            if (slots == 0.0 && self.spot_is_out())
-                || (wait > slack && soonest < left * self.op.dear_due)
-            {
+            let stuck = slots == 0.0 && self.spot_is_out();
+            if stuck || (slots > 0.0 && ahead / slots * mean_s > longest) {
                 out.insert(id.clone());
             }
         }
@@ -1365,7 +1380,7 @@
                     spec: c.spec.clone(),
                     count: (want - able.len()) as u32,
                     zones: BTreeMap::new(),
-                    dear: true,
+                    dear: 0.0,
                 });
             }
             let want = want.min(able.len());
@@ -1425,7 +1440,13 @@
                     .holds
                     .iter()
                     .filter(|h| h.host == m.name)
-                    .map(|h| (h.job.clone(), h.room))
+                    .filter_map(|h| {
+                        Some(HeldView {
+                            job: h.job.clone(),
+                            room: h.room,
+                            urgency: self.jobs.get(&h.job)?.spec.urgency,
+                        })
+                    })
                     .collect(),
             });
         }
@@ -1574,7 +1595,11 @@
                 spec: j.spec.clone(),
                 count: u.count,
                 zones: u.zones.clone(),
-                dear: dear.contains(&u.job),
+                dear: if dear.contains(&u.job) {
+                    self.op.dear_times
+                } else {
+                    0.0
+                },
             });
         }
         needs.extend(self.kept(now).1);
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -89,7 +89,15 @@
     pub slow: f64,
     pub tasks: Vec<TaskView>,
     /// Room kept for a gang whose victims are still leaving.
-    pub held: Vec<(String, Room)>,
+    pub held: Vec<HeldView>,
+}
+
+/// Room that a gang holds on a machine.
+#[derive(Debug, Clone)]
+pub struct HeldView {
+    pub job: String,
+    pub room: Room,
+    pub urgency: Urgency,
 }
 
 #[derive(Debug, Clone)]
@@ -230,7 +238,7 @@
 }
 
 /// The order of the queue: teams within their guarantee, then urgency, then
-/// the least slack, then age.
+/// the least slack and work, then age.
 fn order(s: &Snapshot) -> Vec<usize> {
     let mut idx: Vec<usize> = (0..s.jobs.len()).collect();
     let key = |i: usize| {
@@ -238,8 +246,10 @@
         let within = s.teams.get(&j.spec.team).is_some_and(TeamView::within);
         let due = j.due_s.unwrap_or(f64::INFINITY);
         let slack = due - s.now_s - j.spec.expected_s;
-        // Work that is long late has nothing to lose by waiting a little.
-        let lost = slack < -j.spec.expected_s;
+        // What is late for good has nothing to lose by waiting. Of the rest,
+        // jobs with little left to do go first: more of them are in time.
+        let lost = slack < -j.spec.expected_s / 2.0;
+        let slack = slack + j.want.len() as f64 * j.spec.expected_s;
         (
             !within,
             std::cmp::Reverse(j.spec.urgency),
@@ -259,11 +269,12 @@
     idx
 }
 
-fn free_for(m: &MachineView, job: &str) -> Room {
+/// Room for a job: what others hold is not for it, unless it is more urgent.
+fn free_for(m: &MachineView, job: &JobView) -> Room {
     let mut free = m.free;
-    for (who, room) in &m.held {
-        if who != job {
-            free.sub(*room);
+    for h in &m.held {
+        if h.job != job.id && h.urgency >= job.spec.urgency {
+            free.sub(h.room);
         }
     }
     free
@@ -311,7 +322,7 @@
             (allowed(&job.spec, &m.flavor, &m.zone, m.spot)
                 && zone.is_none_or(|z| z == m.zone)
                 && !job.shun.contains(&m.name))
-            .then(|| free_for(m, &job.id))
+            .then(|| free_for(m, job))
         })
         .collect();
     let cap = zone_cap(&job.spec);
@@ -496,7 +507,7 @@
         let holds = s
             .machines
             .iter()
-            .any(|m| m.held.iter().any(|h| h.0 == job.id));
+            .any(|m| m.held.iter().any(|h| h.job == job.id));
         let mut left = want.len();
         if let Some(p) = best_fit(&s, &job, &want, false, least) {
             if !p.tasks.is_empty() {
@@ -504,7 +515,7 @@
                 want.sort_by_key(|t| !p.tasks.iter().any(|x| x.0 == *t));
                 apply(&mut s, &job, &p);
                 for m in &mut s.machines {
-                    m.held.retain(|h| h.0 != job.id);
+                    m.held.retain(|h| h.job != job.id);
                 }
                 left -= p.tasks.len();
                 d.places.push(Place {
@@ -541,7 +552,11 @@
                     });
                 }
                 for (_, i) in &p.tasks {
-                    s.machines[*i].held.push((job.id.clone(), need));
+                    s.machines[*i].held.push(HeldView {
+                        job: job.id.clone(),
+                        room: need,
+                        urgency: job.spec.urgency,
+                    });
                     d.holds.push(Hold {
                         job: job.id.clone(),
                         host: s.machines[*i].name.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -151,9 +151,12 @@
     /// Ordinary machines held ready for work that can't use spot ones, as a
     /// share of what comes in one boot time.
     pub reserve_boots: f64,
-    /// An ordinary machine is rented for spot work if that would be done
-    /// within this many times the time left.
-    pub dear_due: f64,
+    /// Ordinary machines are rented for spot work that would wait longer than
+    /// this many boot times.
+    pub dear_wait_boots: f64,
+    /// What such an ordinary machine may cost for a task, as a multiple of the
+    /// cheapest spot machine.
+    pub dear_times: f64,
     /// Longest backoff of a gang that found no room, in seconds.
     pub backoff_max_s: f64,
 }
@@ -167,7 +170,8 @@
             idle_boots: 0.15,
             idle_boots_spot: 0.5,
             reserve_boots: 0.8,
-            dear_due: 0.01,
+            dear_times: 4.0,
+            dear_wait_boots: 2.5,
             backoff_max_s: 10.0,
         }
     }
@@ -264,7 +268,8 @@
         positive("idle_boots", o.idle_boots)?;
         positive("idle_boots_spot", o.idle_boots_spot)?;
         positive("reserve_boots", o.reserve_boots)?;
-        positive("dear_due", o.dear_due)?;
+        positive("dear_wait_boots", o.dear_wait_boots)?;
+        positive("dear_times", o.dear_times)?;
         positive("backoff_max_s", o.backoff_max_s)?;
         Ok(o)
     }
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -13,7 +13,7 @@
 use gaugesill::job::{Ranges, Record, Shape, Spec, Urgency};
 use gaugesill::lead::{Ask, Lead, Told};
 use gaugesill::net::Outcome;
-use gaugesill::plan::{cycle, JobView, MachineView, Room, Snapshot, TaskView, TeamView};
+use gaugesill::plan::{cycle, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView};
 use gaugesill::settings::{Operator, Settings};
 use gaugesill::state::{Budget, Commit, Item, Queue};
 use gaugesill::store::{LeaderKey, Picture, Seen, LEADER};
@@ -93,6 +93,18 @@
     }
 }
 
+fn held(job: &str, cpus: f64, urgency: Urgency) -> HeldView {
+    HeldView {
+        job: job.into(),
+        room: Room {
+            cpus,
+            gpus: 0.0,
+            mem: 1.0,
+        },
+        urgency,
+    }
+}
+
 fn snapshot(machines: Vec<MachineView>, jobs: Vec<JobView>) -> Snapshot {
     Snapshot {
         machines,
@@ -161,14 +173,7 @@
     let mut leaving = filler("low", 0, 4.0);
     leaving.stoppable = false;
     m1.tasks = vec![leaving];
-    m1.held = vec![(
-        "g".into(),
-        Room {
-            cpus: 8.0,
-            gpus: 0.0,
-            mem: 1.0,
-        },
-    )];
+    m1.held = vec![held("g", 8.0, Urgency::Normal)];
     let mut m2 = machine("m2", "a", 0.0);
     m2.tasks = vec![filler("low", 1, 8.0)];
     let gang = job("g", spec(Shape::Gang, 1, 8.0, Urgency::Normal));
@@ -183,6 +188,18 @@
     assert_eq!(d.places[0].tasks, [(0, "m3".to_string())]);
 }
 
+#[test]
+fn held_room_gives_way_to_what_is_more_urgent() {
+    let mut m1 = machine("m1", "a", 8.0);
+    m1.held = vec![held("low", 8.0, Urgency::Normal)];
+    let high = job("high", spec(Shape::Gang, 1, 8.0, Urgency::High));
+    let equal = job("equal", spec(Shape::Gang, 1, 8.0, Urgency::Normal));
+    assert!(cycle(snapshot(vec![m1.clone()], vec![equal]))
+        .places
+        .is_empty());
+    assert_eq!(cycle(snapshot(vec![m1], vec![high])).places.len(), 1);
+}
+
 #[test]
 fn zones_are_kept_to() {
     let mut one = spec(Shape::Gang, 2, 4.0, Urgency::Normal);
@@ -261,11 +278,11 @@
     cheap.spot = true;
     let f = flavors();
     // Eight tasks fill one large machine; it is the cheapest for each.
-    let got = shop(&[need(cheap.clone(), 8, false)], vec![], &f, &free, 9);
+    let got = shop(&[need(cheap.clone(), 8, 0.0)], vec![], &f, &free, 9);
     assert_eq!(got.len(), 1);
     assert!(got[0].0.spot && got[0].0.flavor == "large" && got[0].1 == 1);
     // One task alone: a small one.
-    let got = shop(&[need(cheap.clone(), 1, false)], vec![], &f, &free, 9);
+    let got = shop(&[need(cheap.clone(), 1, 0.0)], vec![], &f, &free, 9);
     assert_eq!(got[0].0.flavor, "small");
     // What is on its way serves first.
     let coming = Coming {
@@ -276,12 +293,13 @@
             mem: 64.0,
         },
     };
-    assert!(shop(&[need(cheap.clone(), 2, false)], vec![coming], &f, &free, 9).is_empty());
+    assert!(shop(&[need(cheap.clone(), 2, 0.0)], vec![coming], &f, &free, 9).is_empty());
     // No spot machines to be had: ordinary ones only where it pays.
     let no_spot = |k: &Kind| k.spot;
-    assert!(shop(&[need(cheap.clone(), 1, false)], vec![], &f, &no_spot, 9).is_empty());
+    assert!(shop(&[need(cheap.clone(), 1, 0.0)], vec![], &f, &no_spot, 9).is_empty());
+    assert!(shop(&[need(cheap.clone(), 1, 2.0)], vec![], &f, &no_spot, 9).is_empty());
     assert_eq!(
-        shop(&[need(cheap, 1, true)], vec![], &f, &no_spot, 9).len(),
+        shop(&[need(cheap, 1, 5.5)], vec![], &f, &no_spot, 9).len(),
         1
     );
     // A gang in one zone is bought for in one zone, a spread one in two.
@@ -294,15 +312,12 @@
             .len()
     };
     assert_eq!(
-        zones(&shop(&[need(one.clone(), 6, false)], vec![], &f, &free, 9)),
+        zones(&shop(&[need(one.clone(), 6, 0.0)], vec![], &f, &free, 9)),
         1
     );
     one.one_zone = false;
     one.spread = true;
-    assert_eq!(
-        zones(&shop(&[need(one, 6, false)], vec![], &f, &free, 9)),
-        2
-    );
+    assert_eq!(zones(&shop(&[need(one, 6, 0.0)], vec![], &f, &free, 9)), 2);
 }
 
 #[test]
