Buy for gangs that back off, too

A gang that backed off was left out of what is missing, so machines on their way counted for later jobs.

--- a/src/control.rs
+++ b/src/control.rs
@@ -311,6 +311,7 @@
             }
             return;
         }
+        debug!("{id} is new: {:?}", r.spec);
         if !r.spec.spot && !r.cancelled {
             let boot = self.boot_s();
             let spec = Arc::new(r.spec.clone());
@@ -560,6 +561,7 @@
                 Some(Phase::Ended(cause)) => self.ended(&id, task, &host, cause, now),
                 Some(phase) => {
                     if phase == Phase::Running && p.running_since.is_none() {
+                        debug!("{id}/{task} runs on {host}");
                         p.running_since = Some(now);
                     }
                     if p.phase.is_none_or(|x| x == Phase::Fetching) && phase != Phase::Fetching {
@@ -654,6 +656,7 @@
         let Some(j) = self.jobs.get_mut(id) else {
             return;
         };
+        debug!("{id}/{task} on {host} ended: {cause:?}");
         match cause {
             Cause::Done => {
                 if j.spec.shape == Shape::Gang {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -391,7 +391,11 @@
             if !room.fits(need) {
                 continue;
             }
-            let cost: f64 = chosen.iter().map(|k| m.tasks[*k].cost_s + 1.0).sum::<f64>()
+            // What stopping throws away counts by the share of the machine.
+            let cost: f64 = chosen
+                .iter()
+                .map(|k| (m.tasks[*k].cost_s + 1.0) * m.tasks[*k].room.left_share(m.total))
+                .sum::<f64>()
                 + score(s, m, job, room);
             if choice.as_ref().is_none_or(|c| cost < c.0) {
                 choice = Some((cost, i, chosen));
@@ -473,6 +477,23 @@
     }
 }
 
+/// What a gang lacks: part of it may have room already.
+fn missing(s: &Snapshot, job: &JobView) -> Unmet {
+    let mut zones = job.zones.clone();
+    let mut count = job.want.len();
+    if let Some(p) = best_fit(s, job, &job.want, false, 0) {
+        count -= p.tasks.len();
+        for (_, i) in &p.tasks {
+            *zones.entry(s.machines[*i].zone.clone()).or_insert(0) += 1;
+        }
+    }
+    Unmet {
+        job: job.id.clone(),
+        count: count as u32,
+        zones,
+    }
+}
+
 /// Runs one cycle over the whole queue, each gang in one go.
 pub fn cycle(mut s: Snapshot) -> Decision {
     let mut d = Decision::default();
@@ -496,6 +517,10 @@
             continue;
         }
         if job.resting {
+            // It takes no part, but what it lacks is bought all the same: else
+            // the machines on their way would count for others.
+            let m = missing(&s, &job);
+            d.unmet.push(m);
             continue;
         }
         let mut want = job.want.clone();
@@ -570,20 +595,14 @@
         if left == 0 {
             continue;
         }
-        let mut zones = job.zones.clone();
-        if gang {
-            // Part of it may have room already: only the rest is missing.
-            if let Some(p) = best_fit(&s, &job, &want, false, 0) {
-                left -= p.tasks.len();
-                for (_, i) in &p.tasks {
-                    *zones.entry(s.machines[*i].zone.clone()).or_insert(0) += 1;
-                }
+        d.unmet.push(if gang {
+            missing(&s, &job)
+        } else {
+            Unmet {
+                job: job.id.clone(),
+                count: left as u32,
+                zones: job.zones.clone(),
             }
-        }
-        d.unmet.push(Unmet {
-            job: job.id.clone(),
-            count: left as u32,
-            zones,
         });
     }
     d
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -249,6 +249,17 @@
     assert!(d.places.is_empty() && d.failed.is_empty());
 }
 
+/// Found in the log of a day that began with eight gangs: those that backed
+/// off were not bought for, and the machines on their way served later ones.
+#[test]
+fn a_resting_gang_is_bought_for() {
+    let mut gang = job("g", spec(Shape::Gang, 2, 8.0, Urgency::Normal));
+    gang.resting = true;
+    let d = cycle(snapshot(vec![machine("m1", "a", 2.0)], vec![gang]));
+    assert!(d.places.is_empty() && d.failed.is_empty());
+    assert_eq!(d.unmet[0].count, 2);
+}
+
 fn flavors() -> Vec<Flavor> {
     let f = |sku: &str, cores, hourly, spot_price| Flavor {
         sku: sku.into(),
