--- a/src/settings.rs
+++ b/src/settings.rs
@@ -169,7 +169,7 @@
             lost_lease_share: 0.5,
             idle_boots: 0.15,
             idle_boots_spot: 0.5,
-            reserve_boots: 0.8,
+            reserve_boots: 0.4,
             dear_times: 4.0,
             dear_wait_boots: 2.5,
             backoff_max_s: 10.0,
