Queue by the next aim still in reach

Four machines fit urgent gangs, and gangs long past every aim held them while fresh ones missed theirs; and a job late for its deadline was given up although the aim at 1.5 times was in reach. Ruled out: too late buying (all four were rented at 20 s; no capacity after that).

--- a/src/control.rs
+++ b/src/control.rs
@@ -1418,6 +1418,39 @@
         self.flavors.iter().map(|f| f.boot_s).fold(1.0, f64::max)
     }
 
+    /// When a job should start to meet the next of the aims that the settings
+    /// state for its class. Estimates are rough: half a run time late is not
+    /// yet lost.
+    fn start_by(&self, j: &Job, now_s: f64) -> Option<f64> {
+        let at = j.at as f64 / 1000.0;
+        let run = j.spec.expected_s;
+        let mut aims: Vec<(f64, f64)> = Vec::new();
+        if let Some(d) = j.spec.due_s {
+            aims.push((at + d - run, run / 2.0));
+        }
+        for o in &self.cl.objectives {
+            if o.class.as_ref().is_some_and(|c| *c != j.spec.class) {
+                continue;
+            }
+            match (o.kind.as_str(), o.within_s, j.spec.due_s) {
+                ("wait", Some(w), _) => aims.push((at + w, 0.0)),
+                ("finished", Some(w), _) => aims.push((at + w - run, run / 2.0)),
+                ("deadline", _, Some(d)) => {
+                    aims.push((at + d * o.times.unwrap_or(1.0) - run, run / 2.0));
+                }
+                _ => {}
+            }
+        }
+        if aims.is_empty() {
+            // No aim is stated: first come, first served among the others.
+            return Some(at + self.boot_s());
+        }
+        aims.into_iter()
+            .filter(|a| a.0 + a.1 >= now_s)
+            .map(|a| a.0)
+            .min_by(f64::total_cmp)
+    }
+
     /// `wall` is the time of day in milliseconds, as job records hold it.
     pub fn snapshot(&mut self, now: u64, wall: u64) -> Snapshot {
         self.dirty = false;
@@ -1495,7 +1528,7 @@
                 spec: j.spec.clone(),
                 want,
                 at_s: j.at as f64 / 1000.0,
-                due_s: j.spec.due_s.map(|d| j.at as f64 / 1000.0 + d),
+                start_by: self.start_by(j, now_s),
                 zones: self.zones_of(id, j),
                 shun: j.shun.clone(),
                 resting: now < j.rest_until.max(j.miss_until),
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -108,8 +108,9 @@
     pub want: Vec<u32>,
     /// When it was submitted, in seconds on the planner's clock.
     pub at_s: f64,
-    /// When it is due on the same clock.
-    pub due_s: Option<f64>,
+    /// When it should have started to meet the next of its aims; `None` if
+    /// all are missed.
+    pub start_by: Option<f64>,
     /// Where its tasks are, those of an old attempt included.
     pub zones: BTreeMap<String, u32>,
     /// Machines on which it failed.
@@ -244,12 +245,14 @@
     let key = |i: usize| {
         let j = &s.jobs[i];
         let within = s.teams.get(&j.spec.team).is_some_and(TeamView::within);
-        let due = j.due_s.unwrap_or(f64::INFINITY);
-        let slack = due - s.now_s - j.spec.expected_s;
-        // What is late for good has nothing to lose by waiting. Of the rest,
+        // What has missed all aims has nothing to lose by waiting. Of the rest,
         // jobs with little left to do go first: more of them are in time.
-        let lost = slack < -j.spec.expected_s / 2.0;
-        let slack = slack + j.want.len() as f64 * j.spec.expected_s;
+        let lost = j.start_by.is_none();
+        let work = match j.spec.shape {
+            Shape::Gang => 1.0,
+            _ => j.want.len() as f64,
+        };
+        let slack = j.start_by.unwrap_or(j.at_s) - s.now_s + work * j.spec.expected_s;
         (
             !within,
             std::cmp::Reverse(j.spec.urgency),
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -70,7 +70,7 @@
         want: (0..spec.tasks).collect(),
         spec: Arc::new(spec),
         at_s: 0.0,
-        due_s: None,
+        start_by: Some(0.0),
         zones: BTreeMap::new(),
         shun: HashSet::new(),
         resting: false,
@@ -167,6 +167,26 @@
     assert_eq!(cycle(s).stops.len(), 1);
 }
 
+/// One place, three jobs: what has missed all its aims goes last, and of the
+/// others the one with little left to do goes first.
+#[test]
+fn the_order_of_the_queue() {
+    let one = |id: &str, tasks, start_by| {
+        let mut j = job(id, spec(Shape::Array, tasks, 8.0, Urgency::Low));
+        j.start_by = start_by;
+        j
+    };
+    let jobs = vec![
+        one("lost", 1, None),
+        one("large", 5, Some(1.0)),
+        one("small", 1, Some(5.0)),
+    ];
+    let d = cycle(snapshot(vec![machine("m1", "a", 8.0)], jobs.clone()));
+    assert_eq!(d.places[0].job, "small");
+    let d = cycle(snapshot(vec![machine("m1", "a", 8.0)], jobs[..2].to_vec()));
+    assert_eq!(d.places[0].job, "large");
+}
+
 #[test]
 fn held_room_waits_for_its_gang_without_new_stops() {
     let mut m1 = machine("m1", "a", 4.0);
