Answer a check-in that frees room with the next start

The answer now waits up to a tenth of a report interval (300 ms) for the commit. Also: a machine may get tasks at its first report to a new leader; its epoch rises with the answer, and what an earlier leader placed is counted from the records.

--- a/src/control.rs
+++ b/src/control.rs
@@ -708,6 +708,33 @@
         self.unplace(id, task);
     }
 
+    /// Whether a report tells of room that waiting tasks could have: an answer
+    /// that waits a moment can carry their starts, instead of the next one a
+    /// report interval later.
+    pub fn may_fill(&self, r: &Report) -> bool {
+        let ended = r.pieces.iter().any(|p| {
+            matches!(
+                wire::phase(&p.status, p.cause.as_deref(), p.kept),
+                Phase::Ended(_)
+            )
+        });
+        (ended || r.pieces.is_empty()) && self.jobs.values().any(|j| !j.want(1).is_empty())
+    }
+
+    /// Starts for a machine are on record, and none is on its way there.
+    pub fn may_start(&self, host: &str) -> bool {
+        let mut some = false;
+        for j in self.jobs.values().filter(|j| !j.cancelled) {
+            for p in j.placed.iter().filter(|p| p.host == host && p.ver > 0) {
+                if p.ver > j.committed {
+                    return false;
+                }
+                some |= p.sent.is_none() && p.phase.is_none() && p.stop.is_none();
+            }
+        }
+        some
+    }
+
     /// Orders for a machine whose check-in is being answered.
     pub fn orders(&mut self, r: &Report, may_start: bool, now: u64) -> Vec<Order> {
         let mut out = Vec::new();
@@ -906,30 +933,8 @@
         self.flush_direct(now);
     }
 
-    /// Tasks whose end is on record by now are cleared directly. The worker's
-    /// tasks change with that, so it reports at once, and the answer can carry
-    /// the next start.
-    fn clear_done(&mut self) {
-        for m in self.fleet.values_mut() {
-            for t in m.tasks.iter_mut() {
-                let safe = !t.cleared
-                    && t.phase == Phase::Ended(Cause::Done)
-                    && self
-                        .jobs
-                        .get(&t.job)
-                        .is_none_or(|j| j.done_committed.contains(t.task));
-                if safe {
-                    t.cleared = true;
-                    let order = wire::clear(task_name(&t.job, t.task), t.attempt);
-                    self.direct.entry(m.name.clone()).or_default().push(order);
-                }
-            }
-        }
-    }
-
     /// Sends out what is urgent between ticks.
     pub fn push(&mut self, now: u64, rev: u64) {
-        self.clear_done();
         self.flush(now, rev);
         self.flush_direct(now);
     }
@@ -1201,7 +1206,6 @@
     fn placeable(&self, m: &Machine, now: u64) -> bool {
         m.leaving.is_none()
             && m.reclaim_at.is_none()
-            && m.epoch >= self.epoch
             && !matches!(m.listed, Listed::Failed | Listed::Gone)
             && self.silent_ms(m, now) <= Self::ms(self.cl.workers.report_s * self.op.silent_reports)
             && m.heard.is_some()
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -34,8 +34,6 @@
     pub task: u32,
     pub attempt: u64,
     pub phase: Phase,
-    /// A direct `clear` went out since the report.
-    pub cleared: bool,
 }
 
 /// Where a machine stands with the cloud.
@@ -136,7 +134,6 @@
                     task,
                     attempt: p.attempt,
                     phase: crate::wire::phase(&p.status, p.cause.as_deref(), p.kept),
-                    cleared: false,
                 })
             })
             .collect();
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use tracing::{debug, info, warn};
+use tracing::{debug, info, trace, warn};
 
 use crate::cloud;
 use crate::control::{Control, Effect, Seat};
@@ -62,6 +62,14 @@
     Revoke,
 }
 
+/// A check-in whose answer waits a moment for starts.
+#[derive(Debug)]
+struct Filling {
+    conn: usize,
+    report: wire::Report,
+    until: u64,
+}
+
 #[derive(Debug, Default)]
 struct PeerView {
     heard: Option<u64>,
@@ -110,6 +118,7 @@
     status_next: u64,
     turned_away: BTreeMap<String, u64>,
     reached: BTreeMap<String, u64>,
+    filling: Vec<Filling>,
     plan_at: u64,
     planning: bool,
     tick_next: u64,
@@ -157,6 +166,7 @@
             status_next: 0,
             turned_away: BTreeMap::new(),
             reached: BTreeMap::new(),
+            filling: vec![],
             plan_at: 0,
             planning: false,
             tick_next: 0,
@@ -260,6 +270,7 @@
                 self.effect(e);
             }
         }
+        self.fill();
         self.watch_tick();
         loop {
             let tag = self.next_tag;
@@ -297,6 +308,7 @@
                 tenure,
                 orders,
             } => {
+                trace!("{host} is ordered {orders:?}");
                 let body = wire::encode(&wire::Orders {
                     epoch,
                     tenure: Some(tenure),
@@ -1043,15 +1055,17 @@
                 return self.answer(conn, 503, Some(1), vec![]);
             } else {
                 c.report(&r, true, now);
-                let may_start = sure && fresh.is_some_and(|f| now < f + WATCH_MS + STATE_MS);
-                let reply = wire::Orders {
-                    epoch: c.epoch,
-                    tenure: None,
-                    orders: c.orders(&r, may_start, now),
-                };
-                self.reached.insert(r.host, now);
-                let body = wire::encode(&reply);
-                return self.answer(conn, 200, None, body);
+                self.reached.insert(r.host.clone(), now);
+                if sure && c.may_fill(&r) {
+                    let until = now + (w.report_s * 100.0) as u64;
+                    self.filling.push(Filling {
+                        conn,
+                        report: r,
+                        until,
+                    });
+                    return;
+                }
+                return self.answer_checkin(conn, &r);
             }
         }
         self.turned_away.insert(r.host, now);
@@ -1065,6 +1079,51 @@
         self.answer(conn, 421, None, body);
     }
 
+    /// Answers a check-in that was taken in, with what there is to do.
+    fn answer_checkin(&mut self, conn: usize, r: &wire::Report) {
+        let now = self.now.steady;
+        let fresh = self.fresh_at.is_some_and(|f| now < f + WATCH_MS + STATE_MS);
+        let may_start = fresh && self.lead.sure(now);
+        let Some(c) = &mut self.control else {
+            // It led a moment ago: the next report finds out who does.
+            return self.answer(conn, 503, Some(1), vec![]);
+        };
+        let reply = wire::Orders {
+            epoch: c.epoch,
+            tenure: None,
+            orders: c.orders(r, may_start, now),
+        };
+        trace!(
+            "{} {}/{} reports {:?}, gets {:?}",
+            r.host,
+            r.tenure,
+            r.serial,
+            r.pieces,
+            reply.orders
+        );
+        let body = wire::encode(&reply);
+        self.answer(conn, 200, None, body);
+    }
+
+    /// Check-ins whose answer waits for starts: they go out as soon as those
+    /// are on record, or without them after a tenth of a report interval.
+    fn fill(&mut self) {
+        let now = self.now.steady;
+        let mut waiting = Vec::new();
+        for f in std::mem::take(&mut self.filling) {
+            let ready = match &self.control {
+                Some(c) => now >= f.until || c.may_start(&f.report.host),
+                None => true,
+            };
+            if ready {
+                self.answer_checkin(f.conn, &f.report);
+            } else {
+                waiting.push(f);
+            }
+        }
+        self.filling = waiting;
+    }
+
     fn fault(&mut self, caller: Caller, status: u16, retry: Option<u32>, why: &str) {
         let body = wire::encode(&wire::Fault { error: why });
         self.answer_to(caller, status, retry, body);
@@ -1463,7 +1522,7 @@
             return None;
         }
         self.planning = true;
-        self.plan_at = now.steady + 200;
+        self.plan_at = now.steady + 50;
         Some(c.snapshot(now.steady, now.wall))
     }
 
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -295,6 +295,40 @@
     s.assert_sound();
 }
 
+/// Found in the reports of a steady day: the answer to the check-in that told
+/// of a task's end went out before the next start was on record, so each place
+/// lay empty for a report interval between two tasks.
+#[test]
+fn the_next_start_comes_with_the_answer_to_an_end() {
+    let mut s = Sim::new();
+    s.cloud.most = 1;
+    s.run(1000);
+    s.submit(
+        0,
+        &submission("run-000001", "sweep", 6, 8.0, "normal"),
+        2000,
+    );
+    assert!(s.until(60_000, |s| s.all_done()));
+    let at = |line: &String| {
+        line.trim()
+            .split(' ')
+            .next()
+            .and_then(|t| t.parse::<f64>().ok())
+    };
+    let starts: Vec<f64> = s
+        .trace
+        .iter()
+        .filter(|l| l.contains(" starts on "))
+        .filter_map(at)
+        .collect();
+    assert_eq!(starts.len(), 6);
+    for w in starts.windows(2) {
+        // A second of fetching, two of running, half a second between reports.
+        assert!(w[1] - w[0] < 4.2, "{starts:?}");
+    }
+    s.assert_sound();
+}
+
 /// Found on a steady day: a task that was to make room before its start had
 /// gone out kept its place for good, and its machine was never given back.
 #[test]
