--- a/src/control.rs
+++ b/src/control.rs
@@ -667,10 +667,6 @@
                     j.done.insert(task);
                 }
                 j.tries = 0;
-                if let Some(m) = self.fleet.get_mut(host) {
-                    m.good += 1;
-                    m.errors = 0;
-                }
             }
             Cause::Error => {
                 j.shun.insert(host.to_string());
@@ -685,7 +681,6 @@
                 };
                 j.rest_until = now + Self::ms(wait);
                 if let Some(m) = self.fleet.get_mut(host) {
-                    m.errors += 1;
                     if !elsewhere && m.leaving.is_none() {
                         warn!("{host} failed {id}/{task}: it is drained and given back");
                         m.leaving = Some("a task failed on it");
@@ -1385,7 +1380,7 @@
             let rate = c.rate(now, boot);
             let want = (rate * boot * self.op.reserve_boots).round() as usize;
             let need = Room::of(&c.spec);
-            let mut able: Vec<(bool, &Machine)> = self
+            let mut able: Vec<(usize, &Machine)> = self
                 .fleet
                 .values()
                 .filter(|m| {
@@ -1401,9 +1396,10 @@
                             .values()
                             .any(|j| !j.spec.spot && j.placed.iter().any(|p| p.host == m.name))
                 })
-                .map(|m| (m.idle_since.is_none(), m))
+                .map(|m| (m.images.len(), m))
                 .collect();
-            able.sort_by(|a, b| (a.0, &a.1.name).cmp(&(b.0, &b.1.name)));
+            // The more images are there already, the sooner work begins.
+            able.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.name.cmp(&b.1.name)));
             if want > able.len() {
                 missing.push(Need {
                     spec: c.spec.clone(),
@@ -1496,7 +1492,6 @@
                 free: self.free(m),
                 images: m.images.iter().map(|i| i.0.clone()).collect(),
                 fetch: f.fetch,
-                slow: m.slow,
                 tasks,
                 held: self
                     .holds
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -72,10 +72,6 @@
     pub leaving: Option<&'static str>,
     pub delete_sent: Option<u64>,
     pub probed: u64,
-    /// Run times against the expected, smoothed.
-    pub slow: f64,
-    pub errors: u32,
-    pub good: u32,
 }
 
 impl Machine {
@@ -100,9 +96,6 @@
             leaving: None,
             delete_sent: None,
             probed: 0,
-            slow: 1.0,
-            errors: 0,
-            good: 0,
         }
     }
 
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -85,8 +85,6 @@
     pub free: Room,
     pub images: Vec<String>,
     pub fetch: f64,
-    /// Run time against the usual: 1 is normal, more is slower.
-    pub slow: f64,
     pub tasks: Vec<TaskView>,
     /// Room kept for a gang whose victims are still leaving.
     pub held: Vec<HeldView>,
@@ -299,7 +297,7 @@
     let mut left = free;
     left.sub(Room::of(spec));
     // A nearly empty machine may soon be given back: fill the others first.
-    fetch + dear + s.spot_worth_s * left.left_share(m.total) + spec.expected_s * (m.slow - 1.0)
+    fetch + dear + s.spot_worth_s * left.left_share(m.total)
 }
 
 struct Picked {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -58,7 +58,6 @@
         free: room(free),
         images: vec![],
         fetch: 1.0,
-        slow: 1.0,
         tasks: vec![],
         held: vec![],
     }
