--- /dev/null
+++ b/src/control/planning.rs
@@ -0,0 +1,528 @@
+//! From the leader's mind to the planner's snapshot, and from its decision to
+//! placements and rentals.
+
+use super::*;
+
+impl Control {
+    pub(super) fn placeable(&self, m: &Machine, now: u64) -> bool {
+        m.leaving.is_none()
+            && m.reclaim_at.is_none()
+            && !matches!(m.listed, Listed::Failed | Listed::Gone)
+            && self.silent_ms(m, now) <= Self::ms(self.cl.workers.report_s * self.op.silent_reports)
+            && m.heard.is_some()
+    }
+
+    /// Room on a machine, everything counted that may be on it.
+    pub(super) fn free(&self, m: &Machine) -> Room {
+        let Some(f) = self.flavor(&m.flavor) else {
+            return Room::default();
+        };
+        let mut free = cloud::room(f);
+        for j in self.jobs.values() {
+            let need = Room::of(&j.spec);
+            for _ in j.placed.iter().filter(|p| p.host == m.name) {
+                free.sub(need);
+            }
+        }
+        for t in m.live() {
+            let placed = self.jobs.get(&t.job).map(|j| {
+                j.placed
+                    .iter()
+                    .any(|p| p.task == t.task && p.host == m.name && p.attempt == t.attempt)
+            });
+            match placed {
+                Some(true) => {}
+                Some(false) => free.sub(Room::of(&self.jobs[&t.job].spec)),
+                // Its size is not known any more: nothing fits beside it.
+                None => free = Room::default(),
+            }
+        }
+        free
+    }
+
+    pub(super) fn teams(&self) -> HashMap<String, TeamView> {
+        let mut out: HashMap<String, TeamView> = self
+            .cl
+            .teams
+            .iter()
+            .map(|t| {
+                (
+                    t.name.clone(),
+                    TeamView {
+                        cpus_max: t.cpus_max,
+                        gpus_max: t.gpus_max,
+                        cpus_own: t.cpus,
+                        gpus_own: t.gpus,
+                        ..TeamView::default()
+                    },
+                )
+            })
+            .collect();
+        for j in self.jobs.values() {
+            let Some(t) = out.get_mut(&j.spec.team) else {
+                continue;
+            };
+            let n = j.placed.len() as f64;
+            t.cpus += j.spec.cpus * n;
+            t.gpus += j.spec.gpus * n;
+            let left = (u64::from(j.spec.tasks) - j.done.len()) as f64;
+            t.ask_cpus += j.spec.cpus * left;
+            t.ask_gpus += j.spec.gpus * left;
+        }
+        for m in self.fleet.values() {
+            for t in m.live() {
+                let Some(j) = self.jobs.get(&t.job) else {
+                    continue;
+                };
+                let placed = j
+                    .placed
+                    .iter()
+                    .any(|p| p.task == t.task && p.host == m.name && p.attempt == t.attempt);
+                if let (false, Some(team)) = (placed, out.get_mut(&j.spec.team)) {
+                    team.cpus += j.spec.cpus;
+                    team.gpus += j.spec.gpus;
+                }
+            }
+        }
+        out
+    }
+
+    pub(super) fn zones_of(&self, id: &str, j: &Job) -> BTreeMap<String, u32> {
+        let mut zones = BTreeMap::new();
+        for p in &j.placed {
+            if let Some(m) = self.fleet.get(&p.host) {
+                *zones.entry(m.zone.clone()).or_insert(0) += 1;
+            }
+        }
+        for m in self.fleet.values() {
+            for t in m.live().filter(|t| t.job == id) {
+                if !j
+                    .placed
+                    .iter()
+                    .any(|p| p.task == t.task && p.host == m.name)
+                {
+                    *zones.entry(m.zone.clone()).or_insert(0) += 1;
+                }
+            }
+        }
+        zones
+    }
+
+    /// Whether the planner may run: the picture is rebuilt as far as needed.
+    pub fn ready(&self) -> bool {
+        !self.flavors.is_empty() && self.listed_once
+    }
+
+    /// How many runs a record may hold.
+    pub(super) fn runs_max(&self) -> usize {
+        ((self.cl.state.value_kb * 1024.0 - 1500.0) / 80.0).max(4.0) as usize
+    }
+
+    /// Jobs for spot machines that are worth an ordinary one: at the rate at
+    /// which the machines that are there work off the queue, they would wait
+    /// very long.
+    pub(super) fn dear(&self, wall: u64) -> HashSet<String> {
+        let mut slots = 0.0;
+        let mut work = 0.0;
+        let mut queue = Vec::new();
+        let jobs = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.spec.spot && !j.cancelled);
+        for (id, j) in jobs {
+            let n = j.placed.len() as f64;
+            slots += n;
+            work += n * j.spec.expected_s;
+            let open = f64::from(j.spec.tasks) - j.done.len() as f64 - n;
+            if open > 0.0 {
+                let left = j
+                    .spec
+                    .due_s
+                    .map_or(f64::INFINITY, |d| d + (j.at as f64 - wall as f64) / 1000.0);
+                queue.push((left - j.spec.expected_s, open, id));
+            }
+        }
+        if slots == 0.0 {
+            // Nothing runs yet: what is on its way will work off the queue.
+            let coming = self.fleet.values().filter(|m| m.spot).count() as u64
+                + self.bookings.iter().map(|b| b.count).sum::<u64>();
+            slots = coming as f64;
+        }
+        let mean_s = if slots > 0.0 { work / slots } else { 0.0 };
+        let longest = self.op.dear_wait_boots * self.boot_s();
+        queue.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut ahead = 0.0;
+        let mut out = HashSet::new();
+        for (_, open, id) in queue {
+            ahead += open;
+            let stuck = slots == 0.0 && self.spot_is_out();
+            if stuck || (slots > 0.0 && ahead / slots * mean_s > longest) {
+                out.insert(id.clone());
+            }
+        }
+        out
+    }
+
+    /// Every kind of spot machine was refused lately.
+    pub(super) fn spot_is_out(&self) -> bool {
+        self.flavors.iter().all(|f| {
+            f.halls.iter().all(|h| {
+                self.blocked.contains_key(&Kind {
+                    flavor: f.sku.clone(),
+                    zone: h.clone(),
+                    spot: true,
+                })
+            })
+        })
+    }
+
+    /// Ordinary machines to hold ready for work that spot machines must not
+    /// take, by how often such work came lately; and what of that is missing.
+    pub(super) fn kept(&self, now: u64) -> (HashSet<String>, Vec<Need>) {
+        let mut kept = HashSet::new();
+        let mut missing = Vec::new();
+        let boot = self.boot_s();
+        for c in self.arrivals.values() {
+            let rate = c.rate(now, boot);
+            let want = (rate * boot * self.op.reserve_boots).round() as usize;
+            let need = Room::of(&c.spec);
+            let mut able: Vec<(usize, &Machine)> = self
+                .fleet
+                .values()
+                .filter(|m| {
+                    !m.spot
+                        && m.leaving.is_none()
+                        && !kept.contains(&m.name)
+                        && plan::allowed(&c.spec, &m.flavor, &m.zone, false)
+                        && self
+                            .flavor(&m.flavor)
+                            .is_some_and(|f| cloud::room(f).fits(need))
+                        && !self
+                            .jobs
+                            .values()
+                            .any(|j| !j.spec.spot && j.placed.iter().any(|p| p.host == m.name))
+                })
+                .map(|m| (m.images.len(), m))
+                .collect();
+            // The more images are there already, the sooner work begins.
+            able.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.name.cmp(&b.1.name)));
+            if want > able.len() {
+                missing.push(Need {
+                    spec: c.spec.clone(),
+                    count: (want - able.len()) as u32,
+                    zones: BTreeMap::new(),
+                    dear: 0.0,
+                });
+            }
+            let want = want.min(able.len());
+            kept.extend(able[..want].iter().map(|m| m.1.name.clone()));
+        }
+        (kept, missing)
+    }
+
+    pub(super) fn boot_s(&self) -> f64 {
+        self.flavors.iter().map(|f| f.boot_s).fold(1.0, f64::max)
+    }
+
+    /// When a job should start to meet the next of the aims that the settings
+    /// state for its class. Estimates are rough: half a run time late is not
+    /// yet lost.
+    pub(super) fn start_by(&self, j: &Job, now_s: f64) -> Option<f64> {
+        let at = j.at as f64 / 1000.0;
+        let run = j.spec.expected_s;
+        let mut aims: Vec<(f64, f64)> = Vec::new();
+        if let Some(d) = j.spec.due_s {
+            aims.push((at + d - run, run / 2.0));
+        }
+        for o in &self.cl.objectives {
+            if o.class.as_ref().is_some_and(|c| *c != j.spec.class) {
+                continue;
+            }
+            match (o.kind.as_str(), o.within_s, j.spec.due_s) {
+                ("wait", Some(w), _) => aims.push((at + w, 0.0)),
+                ("finished", Some(w), _) => aims.push((at + w - run, run / 2.0)),
+                ("deadline", _, Some(d)) => {
+                    aims.push((at + d * o.times.unwrap_or(1.0) - run, run / 2.0));
+                }
+                _ => {}
+            }
+        }
+        if aims.is_empty() {
+            // No aim is stated: first come, first served among the others.
+            return Some(at + self.boot_s());
+        }
+        aims.into_iter()
+            .filter(|a| a.0 + a.1 >= now_s)
+            .map(|a| a.0)
+            .min_by(f64::total_cmp)
+    }
+
+    /// `wall` is the time of day in milliseconds, as job records hold it.
+    pub fn snapshot(&mut self, now: u64, wall: u64) -> Snapshot {
+        self.dirty = false;
+        let now_s = wall as f64 / 1000.0;
+        let mut machines = Vec::new();
+        for m in self.fleet.values() {
+            if !self.placeable(m, now) {
+                continue;
+            }
+            let Some(f) = self.flavor(&m.flavor) else {
+                continue;
+            };
+            let mut tasks = Vec::new();
+            for (id, j) in &self.jobs {
+                for p in j.placed.iter().filter(|p| p.host == m.name) {
+                    let ran = p.running_since.map_or(0.0, |t| (now - t) as f64 / 1000.0);
+                    let lost = if j.spec.checkpoint_s > 0.0 {
+                        j.spec.save_s
+                    } else {
+                        ran + 1.0
+                    };
+                    tasks.push(TaskView {
+                        job: id.clone(),
+                        task: p.task,
+                        room: Room::of(&j.spec),
+                        urgency: j.spec.urgency,
+                        team: j.spec.team.clone(),
+                        stoppable: p.stop.is_none(),
+                        cost_s: lost,
+                    });
+                }
+            }
+            machines.push(MachineView {
+                name: m.name.clone(),
+                flavor: m.flavor.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                total: cloud::room(f),
+                free: self.free(m),
+                images: m.images.iter().map(|i| i.0.clone()).collect(),
+                fetch: f.fetch,
+                tasks,
+                held: self
+                    .holds
+                    .iter()
+                    .filter(|h| h.host == m.name)
+                    .filter_map(|h| {
+                        Some(HeldView {
+                            job: h.job.clone(),
+                            room: h.room,
+                            urgency: self.jobs.get(&h.job)?.spec.urgency,
+                        })
+                    })
+                    .collect(),
+            });
+        }
+        let runs_max = self.runs_max();
+        let mut jobs = Vec::new();
+        for (id, j) in &self.jobs {
+            let mut want = j.want(if j.spec.shape == Shape::Gang {
+                j.spec.tasks as usize
+            } else {
+                WANT_MAX.min(runs_max.saturating_sub(j.placed.len() + j.done.0.len() / 2))
+            });
+            if j.spec.shape == Shape::Gang && !j.placed.is_empty() {
+                // Still there in part: the whole of it goes, then starts anew.
+                want.clear();
+            }
+            if want.is_empty() {
+                continue;
+            }
+            jobs.push(JobView {
+                id: id.clone(),
+                spec: j.spec.clone(),
+                want,
+                at_s: j.at as f64 / 1000.0,
+                start_by: self.start_by(j, now_s),
+                zones: self.zones_of(id, j),
+                shun: j.shun.clone(),
+                resting: now < j.rest_until.max(j.miss_until),
+            });
+        }
+        Snapshot {
+            machines,
+            jobs,
+            teams: self.teams(),
+            now_s,
+            spot_worth_s: self.cl.workers.lease_s,
+        }
+    }
+
+    /// Carries out what was planned, as far as it still holds.
+    pub fn apply(&mut self, d: Decision, now: u64, wall: u64) {
+        for p in d.places {
+            self.place(&p, now);
+        }
+        for s in &d.stops {
+            info!("{}/{} makes room for {}", s.job, s.task, s.by);
+            self.stop_saving(&s.job, s.task, now);
+        }
+        for h in d.holds {
+            self.holds.push(Hold {
+                job: h.job,
+                host: h.host,
+                room: h.room,
+                since: now,
+            });
+        }
+        for id in &d.failed {
+            let max = self.op.backoff_max_s;
+            if let Some(j) = self.jobs.get_mut(id) {
+                // The KEP's standard backoff: from a second on it doubles up
+                // to a cap.
+                j.misses = (j.misses + 1).min(8);
+                let wait = f64::from(1u32 << (j.misses - 1)).min(max);
+                j.miss_until = now + Self::ms(wait);
+            }
+        }
+        self.buy(&d.unmet, now, wall);
+    }
+
+    pub(super) fn place(&mut self, p: &plan::Place, now: u64) {
+        let Some(j) = self.jobs.get(&p.job) else {
+            return;
+        };
+        if j.cancelled {
+            return;
+        }
+        let need = Room::of(&j.spec);
+        let gang = j.spec.shape == Shape::Gang;
+        if gang && !j.placed.is_empty() {
+            return;
+        }
+        let mut left: HashMap<&str, Room> = HashMap::new();
+        let mut team = self.teams().remove(&j.spec.team).unwrap_or_default();
+        let mut ok: Vec<(u32, String)> = Vec::new();
+        for (task, host) in &p.tasks {
+            let fits = self.fleet.get(host).is_some_and(|m| {
+                self.placeable(m, now) && plan::allowed(&j.spec, &m.flavor, &m.zone, m.spot) && {
+                    let free = left.entry(host).or_insert_with(|| self.free(m));
+                    let f = free.fits(need);
+                    if f {
+                        free.sub(need);
+                    }
+                    f
+                }
+            });
+            let new = !j.done.contains(*task) && !j.placed.iter().any(|x| x.task == *task);
+            let room = team.room_for(need);
+            if fits && new && room {
+                team.grow(need);
+                ok.push((*task, host.clone()));
+            } else if gang {
+                return;
+            }
+        }
+        if ok.is_empty() {
+            return;
+        }
+        let Some(j) = self.jobs.get_mut(&p.job) else {
+            return;
+        };
+        j.misses = 0;
+        let attempt = j.next;
+        j.next += 1;
+        let ver = j.touch();
+        debug!("placing {} attempt {attempt}: {ok:?}", p.job);
+        for (task, host) in ok {
+            if let Some(m) = self.fleet.get_mut(&host) {
+                m.idle_since = None;
+            }
+            j.placed.push(Placed {
+                task,
+                attempt,
+                host,
+                ver,
+                sent: None,
+                sends: 0,
+                phase: None,
+                since: now,
+                running_since: None,
+                stop: None,
+            });
+        }
+        self.holds.retain(|h| h.job != p.job);
+    }
+
+    pub(super) fn buy(&mut self, unmet: &[plan::Unmet], now: u64, wall: u64) {
+        let mut needs = Vec::new();
+        let dear = self.dear(wall);
+        for u in unmet {
+            let Some(j) = self.jobs.get(&u.job) else {
+                continue;
+            };
+            if j.cancelled {
+                continue;
+            }
+            needs.push(Need {
+                spec: j.spec.clone(),
+                count: u.count,
+                zones: u.zones.clone(),
+                dear: if dear.contains(&u.job) {
+                    self.op.dear_times
+                } else {
+                    0.0
+                },
+            });
+        }
+        needs.extend(self.kept(now).1);
+        if needs.is_empty() {
+            return;
+        }
+        let mut coming = Vec::new();
+        for m in self.fleet.values() {
+            let starting = m.leaving.is_none()
+                && m.heard.is_none()
+                && !matches!(m.listed, Listed::Failed | Listed::Gone);
+            if let (true, Some(f)) = (starting, self.flavor(&m.flavor)) {
+                coming.push(Coming {
+                    kind: Kind {
+                        flavor: m.flavor.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                    },
+                    free: cloud::room(f),
+                });
+            }
+        }
+        for b in &self.bookings {
+            if let Some(f) = self.flavor(&b.kind.flavor) {
+                for _ in 0..b.count {
+                    coming.push(Coming {
+                        kind: b.kind.clone(),
+                        free: cloud::room(f),
+                    });
+                }
+            }
+        }
+        let blocked = |k: &Kind| self.blocked.get(k).is_some_and(|t| now < *t);
+        let list = cloud::shop(&needs, coming, &self.flavors, &blocked, 50);
+        for (kind, count) in list {
+            let name = format!("{}-{}-{}", self.me, self.epoch, self.next_booking);
+            self.next_booking += 1;
+            self.bookings.push(Booking {
+                name,
+                kind,
+                count: count.min(50),
+                next_try: now,
+                flying: false,
+                tries: 0,
+            });
+        }
+        self.book(now);
+    }
+
+    /// Everything that a report might be about, for the log.
+    pub fn summary(&self) -> String {
+        let placed: usize = self.jobs.values().map(|j| j.placed.len()).sum();
+        let up = self.fleet.values().filter(|m| m.heard.is_some()).count();
+        format!(
+            "epoch {}: {} jobs, {} tasks placed, {} machines ({} up)",
+            self.epoch,
+            self.jobs.len(),
+            placed,
+            self.fleet.len(),
+            up
+        )
+    }
+}
--- /dev/null
+++ b/src/node/leadership.rs
@@ -0,0 +1,138 @@
+//! What the leadership asks of the state service, and what follows.
+
+use super::*;
+
+impl Node {
+    pub(super) fn lead_tick(&mut self) {
+        let jitter = self.rng.random::<f64>();
+        if let Some(ask) = self.lead.tick(self.now.steady, &self.picture, jitter) {
+            self.lead_ask(ask);
+        }
+    }
+
+    pub(super) fn lead_ask(&mut self, ask: lead::Ask) {
+        let _ = self.requests.take(self.now.steady, 1.0, 0.0);
+        let timeout = self.lead.life_ms / 3;
+        match &ask {
+            lead::Ask::Grant => {
+                let body = wire::encode(&wire::GrantAsk {
+                    life_ms: self.lead.life_ms,
+                });
+                self.state(Call::Lead(ask), "POST", "/grants".into(), body, timeout);
+            }
+            lead::Ask::Renew(g) => {
+                let path = format!("/grants/{g}/renew");
+                self.state(Call::Lead(ask), "POST", path, vec![], timeout);
+            }
+            lead::Ask::Revoke(g) => {
+                let path = format!("/grants/{g}");
+                self.state(Call::Revoke, "DELETE", path, vec![], timeout);
+            }
+            lead::Ask::Elect {
+                grant,
+                epoch,
+                leader_stamp,
+                epoch_stamp,
+            } => {
+                let key = LeaderKey {
+                    member: self.set.member.clone(),
+                    epoch: *epoch,
+                };
+                let mut set = Write::set(
+                    LEADER.into(),
+                    ciborium::Value::serialized(&key).unwrap_or(ciborium::Value::Null),
+                );
+                set.permit = Some(*grant);
+                let txn = wire::Txn {
+                    conds: vec![
+                        Cond {
+                            key: LEADER.into(),
+                            stamp: *leader_stamp,
+                        },
+                        Cond {
+                            key: EPOCH.into(),
+                            stamp: *epoch_stamp,
+                        },
+                    ],
+                    writes: vec![
+                        set,
+                        Write::set(EPOCH.into(), ciborium::Value::Integer((*epoch).into())),
+                    ],
+                };
+                let body = wire::encode(&txn);
+                self.state(Call::Lead(ask), "POST", "/txn".into(), body, timeout);
+            }
+        }
+    }
+
+    pub(super) fn lead_told(&mut self, ask: lead::Ask, outcome: &Outcome) {
+        let now = self.now.steady;
+        let told = match (&ask, outcome) {
+            (lead::Ask::Grant, Outcome::Answer { status: 200, body }) => {
+                wire::decode::<wire::Grant>(body).map_or(Told::Nothing, |g| Told::Granted(g.permit))
+            }
+            (lead::Ask::Renew(_), Outcome::Answer { status: 200, .. }) => Told::Renewed,
+            (lead::Ask::Renew(_), Outcome::Answer { status: 404, .. }) => Told::Lost,
+            (lead::Ask::Elect { epoch, .. }, Outcome::Answer { status: 200, body }) => {
+                match wire::decode::<wire::TxnReply>(body) {
+                    Some(r) => Told::Elected {
+                        epoch: *epoch,
+                        stamp: r.rev,
+                    },
+                    None => Told::Nothing,
+                }
+            }
+            (lead::Ask::Elect { .. }, Outcome::Answer { .. }) => Told::Lost,
+            _ => Told::Nothing,
+        };
+        let changed = self.lead.told(now, told);
+        if let Told::Elected { epoch, stamp } = told {
+            if changed {
+                self.picture.leader = Some((
+                    LeaderKey {
+                        member: self.set.member.clone(),
+                        epoch,
+                    },
+                    stamp,
+                ));
+                self.picture.epoch = epoch;
+                self.picture.epoch_stamp = stamp;
+                info!("leading with epoch {epoch}");
+                self.control = Some(Control::new(
+                    Seat {
+                        member: self.set.member.clone(),
+                        epoch,
+                        stamp,
+                    },
+                    &self.set.cluster,
+                    &self.op,
+                    self.flavors.clone(),
+                    &self.picture,
+                    now,
+                ));
+                self.list_next = now;
+                self.listing = None;
+                self.planning = false;
+                self.flavors_next = self.flavors_next.min(now + 1000);
+            }
+        } else if changed {
+            self.step_down("the grant has run out");
+        }
+        self.lead_tick();
+    }
+
+    pub(super) fn step_down(&mut self, why: &str) {
+        if self.control.take().is_some() {
+            warn!("not leading any more: {why}");
+        }
+        self.queue.withdraw(|w| matches!(w, Who::Job { .. }));
+        self.planning = false;
+    }
+
+    pub(super) fn resign(&mut self, why: &str, rest_ms: u64) {
+        if let Some(ask) = self.lead.resign(self.now.steady, rest_ms) {
+            self.lead_ask(ask);
+        }
+        self.step_down(why);
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,574 @@
+//! One controller: brings the modules together. Events and the time go in,
+//! actions come out; no sockets and no clocks here.
+
+mod leadership;
+mod market;
+mod peers;
+mod picture;
+mod requests;
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tracing::{debug, info, trace, warn};
+
+use crate::cloud;
+use crate::control::{Control, Effect, Seat};
+use crate::front::{Admission, Ask, Caller, Pending, Stage};
+use crate::job::{Final, Record, Shape, Spec};
+use crate::lead::{self, Lead, Told};
+use crate::mesh::{Hand, Handed, Status, HAND_PATH, STATUS_PATH};
+use crate::net::{Action, Door, Event, Outcome, Request};
+use crate::plan::{Decision, Snapshot};
+use crate::settings::{Operator, Settings};
+use crate::state::{Budget, Commit, Item, Queue};
+use crate::store::{final_key, job_key, LeaderKey, Picture, Seen, EPOCH, JOBS, LEAD, LEADER, ROOT};
+use crate::wire::{self, Cond, Flavor, Write};
+
+/// The steady clock since the start and the time of day, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Now {
+    pub steady: u64,
+    pub wall: u64,
+}
+
+/// Whose change a commit was.
+#[derive(Debug, Clone)]
+enum Who {
+    User(u64),
+    Job {
+        id: String,
+        ver: u64,
+        end: Option<Final>,
+        epoch: u64,
+    },
+}
+
+/// What a call was for.
+#[derive(Debug)]
+enum Call {
+    LoadLead,
+    LoadJobs,
+    Watch { from: u64, sent: u64 },
+    Barrier { from: u64, sent: u64 },
+    Txn,
+    Lead(lead::Ask),
+    ReadFinal { user: u64 },
+    Flavors,
+    List { sent: u64, epoch: u64 },
+    Rent { booking: String, epoch: u64 },
+    Delete { hosts: Vec<String>, epoch: u64 },
+    Worker { host: String, epoch: u64 },
+    Status { member: String },
+    Hand { user: u64 },
+    Revoke,
+}
+
+/// A check-in whose answer waits a moment for starts.
+#[derive(Debug)]
+struct Filling {
+    conn: usize,
+    report: wire::Report,
+    until: u64,
+}
+
+#[derive(Debug, Default)]
+struct PeerView {
+    heard: Option<u64>,
+    status: Status,
+}
+
+const WATCH_MS: u64 = 1000;
+const STATE_MS: u64 = 1500;
+/// A user gives up after 5 s, or 2 s for a poll.
+const SUBMIT_MS: u64 = 3500;
+const POLL_MS: u64 = 1700;
+
+pub struct Node {
+    set: Settings,
+    op: Operator,
+    rng: StdRng,
+    now: Now,
+    calls: HashMap<u64, Call>,
+    next_tag: u64,
+    out: Vec<Action>,
+    pub picture: Picture,
+    /// Read complete as of this moment.
+    fresh_at: Option<u64>,
+    /// The state service last answered with something other than a refusal.
+    served_at: Option<u64>,
+    load: Option<Vec<String>>,
+    load_next: u64,
+    watching: bool,
+    watch_next: u64,
+    barrier: bool,
+    barrier_next: u64,
+    requests: Budget,
+    queue: Queue<Who>,
+    lead: Lead,
+    pub control: Option<Control>,
+    flavors: Arc<Vec<Flavor>>,
+    flavors_next: u64,
+    cloud: Budget,
+    list_next: u64,
+    listing: Option<Vec<wire::Listed>>,
+    list_started: u64,
+    users: BTreeMap<u64, Pending>,
+    next_user: u64,
+    admission: Admission,
+    peers: HashMap<String, PeerView>,
+    status_next: u64,
+    turned_away: BTreeMap<String, u64>,
+    reached: BTreeMap<String, u64>,
+    filling: Vec<Filling>,
+    plan_at: u64,
+    planning: bool,
+    tick_next: u64,
+    summary_next: u64,
+}
+
+impl Node {
+    pub fn new(set: Settings, op: Operator, seed: u64) -> Node {
+        let c = &set.cluster;
+        let n = (set.known.len() + 1) as f64;
+        let life = (c.workers.report_s * op.leader_life_reports * 1000.0) as u64;
+        Node {
+            rng: StdRng::seed_from_u64(seed),
+            now: Now { steady: 0, wall: 0 },
+            calls: HashMap::new(),
+            next_tag: 1,
+            out: vec![],
+            picture: Picture::default(),
+            fresh_at: None,
+            served_at: None,
+            load: None,
+            load_next: 0,
+            watching: false,
+            watch_next: 0,
+            barrier: false,
+            barrier_next: 0,
+            requests: Budget::new(c.state.rps / n),
+            queue: Queue::new(c.state.write_rps * 0.5, c.state.txn_ops),
+            lead: Lead::new(&set.member, life),
+            control: None,
+            flavors: Arc::new(vec![]),
+            flavors_next: 0,
+            cloud: Budget::new(c.cloud.rps * 0.7),
+            list_next: 0,
+            listing: None,
+            list_started: 0,
+            users: BTreeMap::new(),
+            next_user: 1,
+            admission: Admission::new(500, c.limits.fd_limit / 4),
+            peers: set
+                .known
+                .iter()
+                .map(|p| (p.member.clone(), PeerView::default()))
+                .collect(),
+            status_next: 0,
+            turned_away: BTreeMap::new(),
+            reached: BTreeMap::new(),
+            filling: vec![],
+            plan_at: 0,
+            planning: false,
+            tick_next: 0,
+            summary_next: 10_000,
+            set,
+            op,
+        }
+    }
+
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.out)
+    }
+
+    fn call(
+        &mut self,
+        what: Call,
+        to: SocketAddr,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    ) {
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        self.calls.insert(tag, what);
+        self.out.push(Action::Call {
+            tag,
+            to,
+            method,
+            path,
+            body,
+            timeout_ms,
+        });
+    }
+
+    fn state(&mut self, what: Call, method: &'static str, path: String, body: Vec<u8>, ms: u64) {
+        let to = self.set.endpoints.state;
+        self.call(what, to, method, path, body, ms);
+    }
+
+    // ---- events
+
+    pub fn event(&mut self, now: Now, ev: Event) {
+        self.now = now;
+        match ev {
+            Event::Request {
+                conn,
+                door,
+                request,
+            } => self.request(conn, door, request),
+            Event::Reply { tag, outcome } => {
+                if let Some(call) = self.calls.remove(&tag) {
+                    self.reply(tag, call, outcome);
+                }
+            }
+        }
+        self.pump();
+    }
+
+    /// To be called at least as often as `wait_ms` says.
+    pub fn tick(&mut self, now: Now) {
+        self.now = now;
+        if now.steady < self.tick_next {
+            return;
+        }
+        self.tick_next = now.steady + 100;
+        self.load_tick();
+        self.lead_tick();
+        self.flavors_tick();
+        self.mesh_tick();
+        if let Some(c) = &mut self.control {
+            c.tick(now.steady, self.picture.rev);
+        }
+        self.list_tick();
+        self.users_tick();
+        self.pump();
+        if now.steady >= self.summary_next {
+            self.summary_next = now.steady + 10_000;
+            if let Some((n, mid, high)) = self.admission.times() {
+                info!(
+                    "{n} user requests, median {mid} ms, 99% {high} ms, limit {}",
+                    self.admission.limit()
+                );
+            }
+            if let Some(c) = &self.control {
+                info!("leading: {}", c.summary());
+            }
+        }
+    }
+
+    pub fn wait_ms(&self, now: u64) -> u64 {
+        self.tick_next.saturating_sub(now).clamp(1, 100)
+    }
+
+    /// Sends what has come due: reads, changes and the leader's effects.
+    fn pump(&mut self) {
+        let now = self.now.steady;
+        if let Some(c) = &mut self.control {
+            c.push(now, self.picture.rev);
+            for e in c.take_effects() {
+                self.effect(e);
+            }
+        }
+        self.fill();
+        self.watch_tick();
+        loop {
+            let tag = self.next_tag;
+            let Some(txn) = self.queue.next(now, tag, &mut self.requests) else {
+                break;
+            };
+            let body = wire::encode(&txn);
+            self.state(Call::Txn, "POST", "/txn".into(), body, STATE_MS);
+        }
+    }
+
+    fn effect(&mut self, e: Effect) {
+        let epoch = self.control.as_ref().map_or(0, |c| c.epoch);
+        match e {
+            Effect::Write {
+                job,
+                ver,
+                end,
+                conds,
+                writes,
+            } => self.queue.push(Item {
+                who: Who::Job {
+                    id: job,
+                    ver,
+                    end,
+                    epoch,
+                },
+                conds,
+                writes,
+                rank: 0,
+            }),
+            Effect::Direct {
+                host,
+                to,
+                tenure,
+                orders,
+            } => {
+                trace!("{host} is ordered {orders:?}");
+                let body = wire::encode(&wire::Orders {
+                    epoch,
+                    tenure: Some(tenure),
+                    orders,
+                });
+                self.call(
+                    Call::Worker { host, epoch },
+                    to,
+                    "POST",
+                    "/orders".into(),
+                    body,
+                    2000,
+                );
+            }
+            Effect::Inspect { host, to } => self.call(
+                Call::Worker { host, epoch },
+                to,
+                "GET",
+                "/inspect".into(),
+                vec![],
+                2000,
+            ),
+            Effect::Rent {
+                booking,
+                kind,
+                count,
+            } => {
+                if !self.cloud.take(self.now.steady, 1.0, 0.0) {
+                    if let Some(c) = &mut self.control {
+                        c.rented(&booking, None, false, self.now.steady);
+                    }
+                    return;
+                }
+                info!("renting {count} of {kind:?} as {booking}");
+                let body = wire::encode(&wire::Rent {
+                    booking: &booking,
+                    flavor: &kind.flavor,
+                    hall: &kind.zone,
+                    loaner: kind.spot,
+                    how_many: count,
+                });
+                let to = self.set.endpoints.cloud;
+                self.call(
+                    Call::Rent { booking, epoch },
+                    to,
+                    "POST",
+                    "/machines".into(),
+                    body,
+                    4000,
+                );
+            }
+            Effect::Delete { hosts } => {
+                if !self.cloud.take(self.now.steady, 1.0, 0.0) {
+                    return; // asked for again by and by
+                }
+                let body = wire::encode(&wire::Hosts {
+                    hosts: hosts.clone(),
+                });
+                let to = self.set.endpoints.cloud;
+                self.call(
+                    Call::Delete { hosts, epoch },
+                    to,
+                    "POST",
+                    "/machines/delete".into(),
+                    body,
+                    4000,
+                );
+            }
+        }
+    }
+
+    // ---- replies
+
+    fn reply(&mut self, tag: u64, call: Call, outcome: Outcome) {
+        let now = self.now.steady;
+        let stateful = matches!(
+            call,
+            Call::LoadLead
+                | Call::LoadJobs
+                | Call::Watch { .. }
+                | Call::Barrier { .. }
+                | Call::Txn
+                | Call::Lead(_)
+                | Call::ReadFinal { .. }
+        );
+        if stateful {
+            match &outcome {
+                Outcome::Answer { status: 429, .. } => self.requests.empty(),
+                Outcome::Answer { status, .. } if *status < 500 => self.served_at = Some(now),
+                _ => {}
+            }
+        }
+        match call {
+            Call::LoadLead => self.loaded_page(true, &outcome),
+            Call::LoadJobs => self.loaded_page(false, &outcome),
+            Call::Watch { from, sent } => {
+                self.watching = false;
+                self.news(&outcome, from, sent, false);
+            }
+            Call::Barrier { from, sent } => {
+                self.barrier = false;
+                self.news(&outcome, from, sent, true);
+            }
+            Call::Txn => {
+                for (who, commit) in self.queue.settle(tag, &outcome) {
+                    self.settled(who, commit);
+                }
+            }
+            Call::Lead(ask) => self.lead_told(ask, &outcome),
+            Call::Revoke => {}
+            Call::ReadFinal { user } => self.read_final(user, &outcome),
+            Call::Flavors => {
+                if let Outcome::Answer { status: 200, body } = &outcome {
+                    if let Some(f) = wire::decode::<wire::Flavors>(body) {
+                        self.flavors = Arc::new(f.flavors);
+                        if let Some(c) = &mut self.control {
+                            c.set_flavors(self.flavors.clone());
+                        }
+                        self.flavors_next = now + 60_000;
+                    }
+                }
+            }
+            Call::List { sent, epoch } => self.list_page(sent, epoch, &outcome),
+            Call::Rent { booking, epoch } => {
+                let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) else {
+                    return;
+                };
+                match &outcome {
+                    Outcome::Answer { status: 200, body } => {
+                        let hosts = wire::decode::<wire::Hosts>(body).map(|h| h.hosts);
+                        c.rented(&booking, hosts, false, now);
+                    }
+                    Outcome::Answer { status: 503, body } => {
+                        let none = body.windows(11).any(|w| w == b"no capacity");
+                        c.rented(&booking, None, none, now);
+                    }
+                    Outcome::Answer { status: 400, .. } => {
+                        warn!("the cloud refuses {booking} as malformed");
+                        c.rented(&booking, None, true, now);
+                    }
+                    _ => c.rented(&booking, None, false, now),
+                }
+            }
+            Call::Delete { hosts, epoch } => {
+                if let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) {
+                    let ok = matches!(outcome, Outcome::Answer { status: 200, .. });
+                    c.deleted(&hosts, ok, now);
+                }
+            }
+            Call::Worker { host, epoch } => {
+                let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) else {
+                    return;
+                };
+                if let Outcome::Answer {
+                    status: 200 | 409,
+                    body,
+                } = &outcome
+                {
+                    if let Some(r) = wire::decode::<wire::Report>(body) {
+                        if r.host != host {
+                            return;
+                        }
+                        if r.epoch > epoch {
+                            return self.resign("a worker has seen a higher epoch", 0);
+                        }
+                        c.report(&r, false, now);
+                    }
+                }
+            }
+            Call::Status { member } => {
+                if let Outcome::Answer { status: 200, body } = &outcome {
+                    if let Ok(s) = Status::decode(body.as_slice()) {
+                        self.peer_status(&member, s);
+                    }
+                }
+            }
+            Call::Hand { user } => {
+                let answer = match &outcome {
+                    Outcome::Answer { status: 200, body } => Handed::decode(body.as_slice()).ok(),
+                    _ => None,
+                };
+                match answer {
+                    Some(h) => self.finish(user, h.status as u16, h.retry_after, h.body),
+                    None => self.finish(user, 503, Some(1), vec![]),
+                }
+            }
+        }
+    }
+
+    fn settled(&mut self, who: Who, commit: Commit) {
+        let now = self.now.steady;
+        match who {
+            Who::User(u) => self.user_settled(u, &commit),
+            Who::Job {
+                id,
+                ver,
+                end,
+                epoch,
+            } => {
+                if let (Commit::Done { .. }, Some(f)) = (&commit, end) {
+                    self.picture.ended(&id, f);
+                    self.picture.jobs.remove(&id);
+                }
+                let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) else {
+                    return;
+                };
+                c.committed(&id, ver, end, &commit, now);
+                if let Commit::Conflict { failed, .. } = &commit {
+                    if failed.iter().any(|k| k == LEADER) {
+                        self.lead.resign(now, 0);
+                        self.step_down("a change failed on the leader key");
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- planning
+
+    /// A snapshot to plan on, when it is time.
+    pub fn plan_due(&mut self, now: Now) -> Option<Snapshot> {
+        self.now = now;
+        if self.planning || now.steady < self.plan_at || !self.lead.sure(now.steady) {
+            return None;
+        }
+        let c = self.control.as_mut()?;
+        if !c.ready() {
+            return None;
+        }
+        // Room for changes on their way goes first; and a second's beat so
+        // that backoffs end without an event.
+        if !c.dirty && now.steady < self.plan_at + 1000 {
+            return None;
+        }
+        self.planning = true;
+        self.plan_at = now.steady + 50;
+        Some(c.snapshot(now.steady, now.wall))
+    }
+
+    pub fn planned(&mut self, now: Now, epoch: u64, d: Decision) {
+        self.now = now;
+        self.planning = false;
+        if let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) {
+            c.apply(d, now.steady, now.wall);
+        }
+        self.pump();
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.control.as_ref().map_or(0, |c| c.epoch)
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct FinalRead {
+    data: ciborium::Value,
+}
--- /dev/null
+++ b/src/node/peers.rs
@@ -0,0 +1,75 @@
+//! What the other controllers tell, and what follows from it.
+
+use super::*;
+
+impl Node {
+    pub(super) fn status(&self) -> Status {
+        let now = self.now.steady;
+        let span = (self.set.cluster.workers.report_s * 2000.0) as u64;
+        let lately = |m: &BTreeMap<String, u64>| m.values().filter(|t| now < **t + span).count();
+        Status {
+            member: self.set.member.clone(),
+            served: self.served(),
+            leads: self.control.as_ref().map_or(0, |c| c.epoch),
+            turned_away: lately(&self.turned_away) as u32,
+            reached: lately(&self.reached) as u32,
+        }
+    }
+
+    pub(super) fn served(&self) -> bool {
+        let now = self.now.steady;
+        self.served_at
+            .is_some_and(|t| now < t + WATCH_MS + STATE_MS)
+    }
+
+    pub(super) fn peer_status(&mut self, member: &str, s: Status) {
+        let now = self.now.steady;
+        if let Some(p) = self.peers.get_mut(member) {
+            p.heard = Some(now);
+            p.status = s;
+        }
+        // Cut off from every worker while others turn them away: somebody
+        // else should lead.
+        if let Some(c) = &self.control {
+            let (silent, up) = c.reach(now);
+            if up > 0 && silent == up {
+                let away: u32 = self.live_peers().map(|p| p.status.turned_away).sum();
+                if away > 0 && self.status().reached == 0 {
+                    let rest = (self.set.cluster.workers.lease_s * 500.0) as u64;
+                    self.resign("no worker gets through while others turn them away", rest);
+                }
+            }
+        }
+    }
+
+    pub(super) fn live_peers(&self) -> impl Iterator<Item = &PeerView> {
+        let now = self.now.steady;
+        self.peers
+            .values()
+            .filter(move |p| p.heard.is_some_and(|t| now < t + 3000))
+    }
+
+    pub(super) fn mesh_tick(&mut self) {
+        let now = self.now.steady;
+        if now < self.status_next {
+            return;
+        }
+        self.status_next = now + 1000;
+        let old = 60_000;
+        self.turned_away.retain(|_, t| now < *t + old);
+        self.reached.retain(|_, t| now < *t + old);
+        let body = self.status().encode_to_vec();
+        for p in self.set.known.clone() {
+            self.call(
+                Call::Status {
+                    member: p.member.clone(),
+                },
+                p.address,
+                "POST",
+                STATUS_PATH.into(),
+                body.clone(),
+                1500,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/src/node/picture.rs
@@ -0,0 +1,164 @@
+//! Reading the state service: first in whole, then by a watch, and at once
+//! when somebody waits for it.
+
+use super::*;
+
+impl Node {
+    pub(super) fn load_tick(&mut self) {
+        let now = self.now.steady;
+        if self.picture.loaded || self.load.is_some() || now < self.load_next {
+            return;
+        }
+        self.load_next = now + 500;
+        self.load = Some(vec![]);
+        self.picture.restart();
+        self.state(
+            Call::LoadLead,
+            "GET",
+            format!("/kv?under={LEAD}&most=100"),
+            vec![],
+            STATE_MS,
+        );
+    }
+
+    pub(super) fn load_jobs(&mut self, from: Option<&str>) {
+        let from = from.map(|f| format!("&from={f}")).unwrap_or_default();
+        self.state(
+            Call::LoadJobs,
+            "GET",
+            format!("/kv?under={JOBS}{from}&most=500"),
+            vec![],
+            STATE_MS * 2,
+        );
+    }
+
+    pub(super) fn loaded_page(&mut self, first: bool, outcome: &Outcome) {
+        let page = match outcome {
+            Outcome::Answer { status: 200, body } => wire::decode::<wire::Page>(body),
+            _ => None,
+        };
+        let Some(page) = page else {
+            self.load = None;
+            self.load_next = self.now.steady + 300;
+            return;
+        };
+        self.picture.page(&page);
+        if first {
+            // Changes since then are told by the watch, those in later pages
+            // a second time.
+            self.picture.rev = page.rev;
+            self.load_jobs(None);
+        } else if page.truncated {
+            let last = page.pairs.last().map(|p| p.key.clone());
+            self.load_jobs(last.as_deref());
+        } else {
+            self.load = None;
+            self.picture.loaded = true;
+            info!(
+                "picture loaded at revision {}: {} jobs",
+                self.picture.rev,
+                self.picture.jobs.len()
+            );
+            self.lead_tick();
+        }
+    }
+
+    pub(super) fn watch_path(&self, hold: u64) -> String {
+        format!(
+            "/watch?under={ROOT}&from={}&holdMs={hold}",
+            self.picture.rev
+        )
+    }
+
+    pub(super) fn watch_tick(&mut self) {
+        let now = self.now.steady;
+        if !self.picture.loaded {
+            return;
+        }
+        if !self.watching && now >= self.watch_next && self.requests.take(now, 1.0, 0.2) {
+            self.watching = true;
+            // Never more than so many a second, however much changes.
+            self.watch_next = now + (6000.0 / self.set.cluster.state.rps) as u64;
+            let from = self.picture.rev;
+            let path = self.watch_path(WATCH_MS);
+            self.state(
+                Call::Watch { from, sent: now },
+                "GET",
+                path,
+                vec![],
+                WATCH_MS + STATE_MS,
+            );
+        }
+        if !self.barrier && now >= self.barrier_next && self.barrier_wanted() {
+            if !self.requests.take(now, 1.0, 0.1) {
+                return;
+            }
+            self.barrier = true;
+            self.barrier_next = now + (6000.0 / self.set.cluster.state.rps) as u64;
+            let from = self.picture.rev;
+            let path = self.watch_path(0);
+            self.state(Call::Barrier { from, sent: now }, "GET", path, vec![], 1000);
+        }
+    }
+
+    pub(super) fn barrier_wanted(&self) -> bool {
+        self.users.values().any(|u| {
+            matches!(u.stage, Stage::Fresh { after, rev }
+            if self.fresh_at.is_none_or(|f| f < after) || self.picture.rev < rev)
+        })
+    }
+
+    pub(super) fn news(&mut self, outcome: &Outcome, from: u64, sent: u64, barrier: bool) {
+        let now = self.now.steady;
+        match outcome {
+            Outcome::Answer { status: 200, body } => {
+                let Some(n) = wire::decode::<wire::News>(body) else {
+                    warn!("a watch's answer can't be read");
+                    return;
+                };
+                let seen = self.picture.news(n.rev, from, &n.news);
+                if self.picture.rev >= n.rev {
+                    self.fresh_at = Some(self.fresh_at.unwrap_or(0).max(sent));
+                }
+                for s in seen {
+                    match s {
+                        Seen::Job(id) => {
+                            if let (Some(c), Some(l)) =
+                                (&mut self.control, self.picture.jobs.get(&id))
+                            {
+                                c.job_seen(&id, l, now);
+                            }
+                        }
+                        Seen::Gone(id) => {
+                            if let Some(c) = &mut self.control {
+                                c.job_gone(&id);
+                            }
+                        }
+                        Seen::Leader => {
+                            if self.lead.seen(&self.picture) {
+                                self.step_down("the leader key is not ours any more");
+                            }
+                            self.lead_tick();
+                        }
+                    }
+                }
+                self.users_fresh();
+            }
+            Outcome::Answer { status: 410, .. } => {
+                warn!("the watch fell too far behind: reading everything again");
+                self.picture.loaded = false;
+                self.load_next = 0;
+                if self.lead.epoch().is_some() {
+                    self.resign("the picture has to be read again", 0);
+                }
+            }
+            _ => {
+                if barrier {
+                    self.users_unserved();
+                }
+                self.watch_next = now + 200;
+                self.barrier_next = now + 200;
+            }
+        }
+    }
+}
