--- a/src/control/fleet_changes.rs
+++ b/src/control/fleet_changes.rs
@@ -44,7 +44,8 @@
                 m.listed = Listed::Gone;
             }
         }
-        self.deletes.retain(|_, t| now < *t + 4 * lag);
+        // Reports of machines that are gone may come minutes late.
+        self.deletes.retain(|_, t| now < *t + 4 * lag + 600_000);
         self.dirty = true;
     }
 
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -12,17 +12,25 @@
             && m.heard.is_some()
     }
 
+    /// What is placed where.
+    fn by_host(&self) -> HashMap<&str, Vec<(&str, &Job, &Placed)>> {
+        let mut out: HashMap<&str, Vec<(&str, &Job, &Placed)>> = HashMap::new();
+        for (id, j) in &self.jobs {
+            for p in &j.placed {
+                out.entry(&p.host).or_default().push((id, j, p));
+            }
+        }
+        out
+    }
+
     /// Room on a machine, everything counted that may be on it.
-    pub(super) fn free(&self, m: &Machine) -> Room {
+    pub(super) fn free(&self, m: &Machine, placed: &[(&str, &Job, &Placed)]) -> Room {
         let Some(f) = self.flavor(&m.flavor) else {
             return Room::default();
         };
         let mut free = cloud::room(f);
-        for j in self.jobs.values() {
-            let need = Room::of(&j.spec);
-            for _ in j.placed.iter().filter(|p| p.host == m.name) {
-                free.sub(need);
-            }
+        for (_, j, _) in placed {
+            free.sub(Room::of(&j.spec));
         }
         for t in m.live() {
             let placed = self.jobs.get(&t.job).map(|j| {
@@ -262,6 +270,7 @@
         self.dirty = false;
         let now_s = wall as f64 / 1000.0;
         let mut machines = Vec::new();
+        let by_host = self.by_host();
         for m in self.fleet.values() {
             if !self.placeable(m, now) {
                 continue;
@@ -269,33 +278,34 @@
             let Some(f) = self.flavor(&m.flavor) else {
                 continue;
             };
-            let mut tasks = Vec::new();
-            for (id, j) in &self.jobs {
-                for p in j.placed.iter().filter(|p| p.host == m.name) {
+            let placed = by_host.get(m.name.as_str()).map_or(&[][..], Vec::as_slice);
+            let tasks = placed
+                .iter()
+                .map(|(id, j, p)| {
                     let ran = p.running_since.map_or(0.0, |t| (now - t) as f64 / 1000.0);
                     let lost = if j.spec.checkpoint_s > 0.0 {
                         j.spec.save_s
                     } else {
                         ran + 1.0
                     };
-                    tasks.push(TaskView {
-                        job: id.clone(),
+                    TaskView {
+                        job: id.to_string(),
                         task: p.task,
                         room: Room::of(&j.spec),
                         urgency: j.spec.urgency,
                         team: j.spec.team.clone(),
                         stoppable: p.stop.is_none(),
                         cost_s: lost,
-                    });
-                }
-            }
+                    }
+                })
+                .collect();
             machines.push(MachineView {
                 name: m.name.clone(),
                 flavor: m.flavor.clone(),
                 zone: m.zone.clone(),
                 spot: m.spot,
                 total: cloud::room(f),
-                free: self.free(m),
+                free: self.free(m, placed),
                 images: m.images.iter().map(|i| i.0.clone()).collect(),
                 fetch: f.fetch,
                 tasks,
@@ -392,11 +402,15 @@
         }
         let mut left: HashMap<&str, Room> = HashMap::new();
         let mut team = self.teams().remove(&j.spec.team).unwrap_or_default();
+        let by_host = self.by_host();
         let mut ok: Vec<(u32, String)> = Vec::new();
         for (task, host) in &p.tasks {
             let fits = self.fleet.get(host).is_some_and(|m| {
                 self.placeable(m, now) && plan::allowed(&j.spec, &m.flavor, &m.zone, m.spot) && {
-                    let free = left.entry(host).or_insert_with(|| self.free(m));
+                    let free = left.entry(host).or_insert_with(|| {
+                        let on = by_host.get(host.as_str()).map_or(&[][..], Vec::as_slice);
+                        self.free(m, on)
+                    });
                     let f = free.fits(need);
                     if f {
                         free.sub(need);
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -6,6 +6,10 @@
     /// Takes in a worker's report. `checkin` tells whether it came by itself
     /// or in answer to a direct command.
     pub fn report(&mut self, r: &Report, checkin: bool, now: u64) {
+        if self.deletes.contains_key(&r.host) {
+            // Gone for good: its report comes late.
+            return;
+        }
         let m = self
             .fleet
             .entry(r.host.clone())
@@ -105,11 +109,20 @@
     }
 
     pub(super) fn settle_idle(&mut self, host: &str, now: u64) {
-        let busy = self
-            .jobs
-            .values()
-            .any(|j| j.placed.iter().any(|p| p.host == host))
-            || self.holds.iter().any(|h| h.host == host);
+        let busy = self.busy_hosts().contains(host);
+        self.set_idle(host, busy, now);
+    }
+
+    /// Machines that something is placed on or held for.
+    pub(super) fn busy_hosts(&self) -> HashSet<String> {
+        let placed = self.jobs.values().flat_map(|j| &j.placed);
+        placed
+            .map(|p| p.host.clone())
+            .chain(self.holds.iter().map(|h| h.host.clone()))
+            .collect()
+    }
+
+    pub(super) fn set_idle(&mut self, host: &str, busy: bool, now: u64) {
         if let Some(m) = self.fleet.get_mut(host) {
             if busy || m.live().next().is_some() {
                 m.idle_since = None;
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -195,8 +195,9 @@
         let mut delete = Vec::new();
         let names: Vec<String> = self.fleet.keys().cloned().collect();
         let kept = self.kept(now).0;
+        let busy = self.busy_hosts();
         for n in names {
-            self.settle_idle(&n, now);
+            self.set_idle(&n, busy.contains(&n), now);
             let m = &self.fleet[&n];
             let silent = self.silent_ms(m, now);
             let boot = self.flavor(&m.flavor).map_or(60.0, |f| f.boot_s);
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -9,6 +9,7 @@
 
 use ciborium::{cbor, Value};
 use gaugesill::cloud::{shop, Coming, Kind, Need};
+use gaugesill::control::{Control, Seat};
 use gaugesill::front::Admission;
 use gaugesill::job::{Final, Ranges, Record, Shape, Spec, Urgency};
 use gaugesill::lead::{Ask, Lead, Told};
@@ -350,6 +351,47 @@
     assert_eq!(zones(&shop(&[need(one, 6, 0.0)], vec![], &f, &free, 9)), 2);
 }
 
+/// A report that was held back arrives after its machine's deletion: it does
+/// not bring the machine back.
+#[test]
+fn a_late_report_of_a_deleted_machine() {
+    let text = r#"{"workers":{"report_s":3.0,"lease_s":36.0,"gang_wait_s":35.0,"gang_peer_s":4.0,
+        "cancel_s":60.0},"state":{"rps":9.0,"write_rps":9.0,"value_kb":16.0,"txn_ops":20},
+        "cloud":{"rps":9.0,"list_lag_s":1.0},
+        "limits":{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}}"#;
+    let seat = Seat {
+        member: "c0".into(),
+        epoch: 2,
+        stamp: 3,
+    };
+    let cluster = serde_json::from_str(text).expect("settings");
+    let mut c = Control::new(
+        seat,
+        &cluster,
+        &Operator::default(),
+        Arc::new(flavors()),
+        &Picture::default(),
+        1000,
+    );
+    let report = |serial| wire::Report {
+        host: "m-000001".into(),
+        endpoint: "10.1.0.1:9".into(),
+        flavor: "small".into(),
+        hall: "a".into(),
+        loaner: false,
+        tenure: 1,
+        serial,
+        epoch: 2,
+        notice_s: None,
+        pieces: vec![],
+    };
+    c.report(&report(4), true, 2000);
+    assert!(c.fleet.contains_key("m-000001"));
+    c.deleted(&["m-000001".to_string()], true, 3000);
+    c.report(&report(5), true, 90_000);
+    assert!(c.fleet.is_empty());
+}
+
 #[test]
 fn ranges() {
     let mut r = Ranges::default();
