--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -240,6 +240,8 @@
 
 const ORDERS_MAX: usize = 300;
 const WANT_MAX: usize = 256;
+/// Boot times after which a machine is not waited for any more.
+const LATE_BOOTS: f64 = 1.6;
 
 impl Control {
     pub fn new(
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -485,8 +485,14 @@
         }
         let mut coming = Vec::new();
         for m in self.fleet.values() {
+            // One that takes far longer than usual may never come up: another
+            // is rented in its stead, and the one that comes late given back.
+            let late = self
+                .flavor(&m.flavor)
+                .is_some_and(|f| now > m.known_since + Self::ms(LATE_BOOTS * f.boot_s));
             let starting = m.leaving.is_none()
                 && m.heard.is_none()
+                && !late
                 && !matches!(m.listed, Listed::Failed | Listed::Gone);
             if let (true, Some(f)) = (starting, self.flavor(&m.flavor)) {
                 coming.push(Coming {
