--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -240,6 +240,9 @@
 
 const ORDERS_MAX: usize = 300;
 const WANT_MAX: usize = 256;
+/// Boot times after which work that can't use spot machines, and has missed all
+/// its aims, is not overtaken any more.
+const OVERTAKEN_BOOTS: f64 = 3.0;
 /// Boot times after which a machine is not waited for any more.
 const LATE_BOOTS: f64 = 1.6;
 
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -259,10 +259,17 @@
             // No aim is stated: first come, first served among the others.
             return Some(at + self.boot_s());
         }
-        aims.into_iter()
+        let next = aims
+            .into_iter()
             .filter(|a| a.0 + a.1 >= now_s)
             .map(|a| a.0)
-            .min_by(f64::total_cmp)
+            .min_by(f64::total_cmp);
+        // Overtaken for too long: its turn has come, aims or not.
+        let long = at + OVERTAKEN_BOOTS * self.boot_s();
+        match next {
+            None if !j.spec.spot && now_s > long => Some(at),
+            next => next,
+        }
     }
 
     /// `wall` is the time of day in milliseconds, as job records hold it.
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -17,7 +17,7 @@
 use gaugesill::plan::{cycle, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView};
 use gaugesill::settings::{Operator, Settings};
 use gaugesill::state::{Budget, Commit, Item, Queue};
-use gaugesill::store::{LeaderKey, Picture, Seen, LEADER};
+use gaugesill::store::{LeaderKey, Live, Picture, Seen, LEADER};
 use gaugesill::wire::{self, Change, Cond, Flavor, Write};
 
 fn spec(shape: Shape, tasks: u32, cpus: f64, urgency: Urgency) -> Spec {
@@ -351,28 +351,64 @@
     assert_eq!(zones(&shop(&[need(one, 6, 0.0)], vec![], &f, &free, 9)), 2);
 }
 
-/// A report that was held back arrives after its machine's deletion: it does
-/// not bring the machine back.
-#[test]
-fn a_late_report_of_a_deleted_machine() {
-    let text = r#"{"workers":{"report_s":3.0,"lease_s":36.0,"gang_wait_s":35.0,"gang_peer_s":4.0,
-        "cancel_s":60.0},"state":{"rps":9.0,"write_rps":9.0,"value_kb":16.0,"txn_ops":20},
-        "cloud":{"rps":9.0,"list_lag_s":1.0},
-        "limits":{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}}"#;
+fn control(objectives: &str) -> Control {
+    let text = format!(
+        r#"{{"objectives":{objectives},"workers":{{"report_s":3.0,"lease_s":36.0,
+        "gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0}},
+        "state":{{"rps":9.0,"write_rps":9.0,"value_kb":16.0,"txn_ops":20}},
+        "cloud":{{"rps":9.0,"list_lag_s":1.0}},
+        "limits":{{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}}}}"#
+    );
     let seat = Seat {
         member: "c0".into(),
         epoch: 2,
         stamp: 3,
     };
-    let cluster = serde_json::from_str(text).expect("settings");
-    let mut c = Control::new(
+    Control::new(
         seat,
-        &cluster,
+        &serde_json::from_str(&text).expect("settings"),
         &Operator::default(),
         Arc::new(flavors()),
         &Picture::default(),
         1000,
+    )
+}
+
+/// Found in inc-8ccc: gangs that had missed every aim were overtaken by fresh
+/// ones for minutes. The next aim counts as long as there is one, then nothing,
+/// and after three boot times it is their turn.
+#[test]
+fn a_gang_is_not_overtaken_for_ever() {
+    let mut c = control(
+        r#"[{"kind":"wait","class":"c","within_s":25.0},
+            {"kind":"finished","class":"c","within_s":60.0},
+            {"kind":"wait","class":"other","within_s":500.0}]"#,
+    );
+    let record = Record::new(spec(Shape::Gang, 1, 4.0, Urgency::Normal), 1_000_000);
+    let live = Live {
+        record: Arc::new(record),
+        stamp: 1,
+    };
+    c.job_seen("run-1", &live, 1000);
+    let mut start_by = |after_s: u64| {
+        let s = c.snapshot(1000 + 1000 * after_s, 1_000_000 + 1000 * after_s);
+        s.jobs[0].start_by
+    };
+    assert_eq!(start_by(5), Some(1025.0));
+    assert_eq!(start_by(30), Some(1050.0), "done in 60 s is in reach");
+    assert_eq!(start_by(70), None);
+    assert_eq!(
+        start_by(130),
+        Some(1000.0),
+        "three boots of 40 s have passed"
     );
+}
+
+/// A report that was held back arrives after its machine's deletion: it does
+/// not bring the machine back.
+#[test]
+fn a_late_report_of_a_deleted_machine() {
+    let mut c = control("[]");
     let report = |serial| wire::Report {
         host: "m-000001".into(),
         endpoint: "10.1.0.1:9".into(),
