--- a/src/settings.rs
+++ b/src/settings.rs
@@ -20,7 +20,7 @@
         file: String,
         source: serde_json::Error,
     },
-    #[error("{file}: not valid operator settings: {source}")]
+    #[error("{file}: not valid operator settings: {}", source.message())]
     Toml {
         file: String,
         source: Box<toml::de::Error>,
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -704,5 +704,16 @@
     let e = Settings::load(Path::new("/nowhere.json")).expect_err("no such file");
     assert!(e.to_string().contains("/nowhere.json"));
     assert!(toml::from_str::<Operator>("idle_boots = 0.5").is_ok());
-    assert!(toml::from_str::<Operator>("idle_bots = 0.5").is_err());
+    let dir = std::env::temp_dir().join(format!("gaugesill-op-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let file = dir.join("operator.toml");
+    for (text, said) in [
+        ("idle_bots = 0.5", "unknown field `idle_bots`"),
+        ("idle_boots = -1", "idle_boots: must be a number above 0"),
+    ] {
+        std::fs::write(&file, text).expect("written");
+        let e = Operator::load(&file).expect_err(text).to_string();
+        assert!(e.contains(said) && e.lines().count() == 1, "{e}");
+    }
+    let _ = std::fs::remove_dir_all(&dir);
 }
