--- a/tests/life.rs
+++ b/tests/life.rs
@@ -413,6 +413,26 @@
     s.assert_sound();
 }
 
+/// The largest array there may be: its record stays small while it runs.
+#[test]
+fn a_hundred_thousand_tasks() {
+    let mut s = Sim::new();
+    s.run(1000);
+    let slot = s.submit(
+        0,
+        &submission("run-000001", "sweep", 100_000, 1.0, "normal"),
+        1000,
+    );
+    s.run(100);
+    assert_eq!(s.answer(slot), Some((201, "pending".into())));
+    s.run(20_000);
+    let done = s.jobs["run-000001"].done.len();
+    assert!(done > 50, "{done} done");
+    let record = &s.state.keys["g/j/run-000001"].0;
+    assert!(gaugesill::wire::encode(record).len() < 8 * 1024);
+    s.assert_sound();
+}
+
 #[test]
 fn users_requests() {
     let mut s = Sim::new();
