One piece of code for what stood twice in the leader's mind

A place whose start has not gone out (Placed::unsent), a reported task that has a place on record (Job::has) and a new place (Placed::new) were written out in two to five places each; gangs that don't come together struck off unsent places beside stop_task, which does it. A report no longer builds the set of all busy machines to look up one, the reserve looks up taken machines once instead of for every machine, and an invariant check left a loop.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,7 +13,7 @@
 use tracing::{debug, info, warn};
 
 use crate::cloud::{self, Coming, Kind, Need};
-use crate::fleet::{Cause, Listed, Machine, Phase};
+use crate::fleet::{Cause, Listed, Machine, OnMachine, Phase};
 use crate::job::{task_name, Final, Ranges, Record, Run, Shape, Spec};
 use crate::plan::{
     self, Decision, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView,
@@ -100,6 +100,29 @@
     shun: HashSet<String>,
 }
 
+impl Placed {
+    /// A place given at the job's change `ver`; 0 for an earlier leader's.
+    fn new(task: u32, attempt: u64, host: String, ver: u64, now: u64) -> Placed {
+        Placed {
+            task,
+            attempt,
+            host,
+            ver,
+            sent: None,
+            sends: 0,
+            phase: None,
+            since: now,
+            running_since: None,
+            stop: None,
+        }
+    }
+
+    /// Its start has not gone out: the machine can't know of it.
+    fn unsent(&self) -> bool {
+        self.ver > 0 && self.sent.is_none() && self.phase.is_none()
+    }
+}
+
 impl Job {
     fn over(&self) -> Option<Final> {
         // A cancellation on record came before the end, whatever the last
@@ -111,6 +134,13 @@
         }
     }
 
+    /// Whether what a machine reports is a place on record.
+    fn has(&self, t: &OnMachine, host: &str) -> bool {
+        self.placed
+            .iter()
+            .any(|p| p.task == t.task && p.attempt == t.attempt && p.host == host)
+    }
+
     fn touch(&mut self) -> u64 {
         self.ver += 1;
         self.ver
@@ -341,18 +371,7 @@
         let mut placed = Vec::new();
         for Run(first, count, attempt, host) in &r.runs {
             for task in *first..first.saturating_add(*count).min(r.spec.tasks) {
-                placed.push(Placed {
-                    task,
-                    attempt: *attempt,
-                    host: host.clone(),
-                    ver: 0,
-                    sent: None,
-                    sends: 0,
-                    phase: None,
-                    since: now,
-                    running_since: None,
-                    stop: None,
-                });
+                placed.push(Placed::new(task, *attempt, host.clone(), 0, now));
             }
         }
         for p in &placed {
@@ -422,7 +441,7 @@
         let Some(p) = j.placed.iter_mut().find(|p| p.task == task) else {
             return;
         };
-        if p.ver > 0 && p.sent.is_none() && p.phase.is_none() {
+        if p.unsent() {
             // Its start has not gone out, and will not: no report can ever
             // prove the place empty, so it is struck off here.
             self.unplace(id, task);
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -33,11 +33,7 @@
             free.sub(Room::of(&j.spec));
         }
         for t in m.live() {
-            let placed = self.jobs.get(&t.job).map(|j| {
-                j.placed
-                    .iter()
-                    .any(|p| p.task == t.task && p.host == m.name && p.attempt == t.attempt)
-            });
+            let placed = self.jobs.get(&t.job).map(|j| j.has(t, &m.name));
             match placed {
                 Some(true) => {}
                 Some(false) => free.sub(Room::of(&self.jobs[&t.job].spec)),
@@ -82,11 +78,7 @@
                 let Some(j) = self.jobs.get(&t.job) else {
                     continue;
                 };
-                let placed = j
-                    .placed
-                    .iter()
-                    .any(|p| p.task == t.task && p.host == m.name && p.attempt == t.attempt);
-                if let (false, Some(team)) = (placed, out.get_mut(&j.spec.team)) {
+                if let (false, Some(team)) = (j.has(t, &m.name), out.get_mut(&j.spec.team)) {
                     team.cpus += j.spec.cpus;
                     team.gpus += j.spec.gpus;
                 }
@@ -161,9 +153,9 @@
         queue.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut ahead = 0.0;
         let mut out = HashSet::new();
+        let stuck = slots == 0.0 && self.spot_is_out();
         for (_, open, id) in queue {
             ahead += open;
-            let stuck = slots == 0.0 && self.spot_is_out();
             if stuck || (slots > 0.0 && ahead / slots * mean_s > longest) {
                 out.insert(id.clone());
             }
@@ -190,6 +182,13 @@
         let mut kept = HashSet::new();
         let mut missing = Vec::new();
         let boot = self.boot_s();
+        let taken: HashSet<&str> = self
+            .jobs
+            .values()
+            .filter(|j| !j.spec.spot)
+            .flat_map(|j| &j.placed)
+            .map(|p| p.host.as_str())
+            .collect();
         for c in self.arrivals.values() {
             let rate = c.rate(now, boot);
             let want = (rate * boot * self.op.reserve_boots).round() as usize;
@@ -205,10 +204,7 @@
                         && self
                             .flavor(&m.flavor)
                             .is_some_and(|f| cloud::room(f).fits(need))
-                        && !self
-                            .jobs
-                            .values()
-                            .any(|j| !j.spec.spot && j.placed.iter().any(|p| p.host == m.name))
+                        && !taken.contains(m.name.as_str())
                 })
                 .map(|m| (m.images.len(), m))
                 .collect();
@@ -449,18 +445,7 @@
             if let Some(m) = self.fleet.get_mut(&host) {
                 m.idle_since = None;
             }
-            j.placed.push(Placed {
-                task,
-                attempt,
-                host,
-                ver,
-                sent: None,
-                sends: 0,
-                phase: None,
-                since: now,
-                running_since: None,
-                stop: None,
-            });
+            j.placed.push(Placed::new(task, attempt, host, ver, now));
         }
         self.holds.retain(|h| h.job != p.job);
     }
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -92,11 +92,7 @@
         }
         // What has no place on record must not be there.
         for t in &on {
-            let known = self.jobs.get(&t.job).is_some_and(|j| {
-                j.placed
-                    .iter()
-                    .any(|p| p.task == t.task && p.attempt == t.attempt && p.host == host)
-            });
+            let known = self.jobs.get(&t.job).is_some_and(|j| j.has(t, &host));
             if !known && !matches!(t.phase, Phase::Ended(_)) {
                 let order = wire::stop(task_name(&t.job, t.task), t.attempt, 0.0);
                 self.direct.entry(host.clone()).or_default().push(order);
@@ -109,7 +105,11 @@
     }
 
     pub(super) fn settle_idle(&mut self, host: &str, now: u64) {
-        let busy = self.busy_hosts().contains(host);
+        let busy = self
+            .jobs
+            .values()
+            .any(|j| j.placed.iter().any(|p| p.host == host))
+            || self.holds.iter().any(|h| h.host == host);
         self.set_idle(host, busy, now);
     }
 
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -28,16 +28,16 @@
         self.probe(now);
         self.book(now);
         self.flush(now, rev);
-        self.flush_direct(now);
+        self.flush_direct();
     }
 
     /// Sends out what is urgent between ticks.
     pub fn push(&mut self, now: u64, rev: u64) {
         self.flush(now, rev);
-        self.flush_direct(now);
+        self.flush_direct();
     }
 
-    pub(super) fn flush_direct(&mut self, _now: u64) {
+    pub(super) fn flush_direct(&mut self) {
         for (host, mut orders) in std::mem::take(&mut self.direct) {
             let Some(m) = self.fleet.get(&host) else {
                 continue;
@@ -73,11 +73,10 @@
             }
         }
         for (id, t) in stops {
-            let unsent = self.jobs.get(&id).is_some_and(|j| {
-                j.placed
-                    .iter()
-                    .any(|p| p.task == t && p.ver > 0 && p.sent.is_none() && p.phase.is_none())
-            });
+            let unsent = self
+                .jobs
+                .get(&id)
+                .is_some_and(|j| j.placed.iter().any(|p| p.task == t && p.unsent()));
             if unsent {
                 self.unplace(&id, t);
             } else {
@@ -101,7 +100,6 @@
     /// queued again; so is one that lost a member before it began.
     pub(super) fn gangs(&mut self, now: u64) {
         let mut stops: Vec<(String, u32)> = Vec::new();
-        let mut drops: Vec<(String, u32)> = Vec::new();
         for (id, j) in &self.jobs {
             if j.spec.shape != Shape::Gang || j.cancelled || j.placed.is_empty() {
                 continue;
@@ -121,16 +119,11 @@
                 }
             }
             for p in &j.placed {
-                if p.ver > 0 && p.sent.is_none() && p.phase.is_none() {
-                    drops.push((id.clone(), p.task));
-                } else if p.stop.is_none() {
+                if p.stop.is_none() {
                     stops.push((id.clone(), p.task));
                 }
             }
         }
-        for (id, t) in drops {
-            self.unplace(&id, t);
-        }
         for (id, t) in stops {
             self.stop_task(&id, t, 0.0, now);
         }
@@ -140,7 +133,7 @@
         let mut lost = Vec::new();
         for (id, j) in &self.jobs {
             for p in &j.placed {
-                if p.ver == 0 || p.sent.is_some() || p.phase.is_some() {
+                if !p.unsent() {
                     continue;
                 }
                 let gone = self.fleet.get(&p.host).is_none_or(|m| {
