--- a/src/control.rs
+++ b/src/control.rs
@@ -97,12 +97,12 @@
 
 impl Job {
     fn over(&self) -> Option<Final> {
-        if self.done.len() == u64::from(self.spec.tasks) {
-            Some(Final::Done)
-        } else if self.cancelled && self.placed.is_empty() {
-            Some(Final::Withdrawn)
+        // A cancellation on record came before the end, whatever the last
+        // tasks did meanwhile: its user has been told.
+        if self.cancelled {
+            self.placed.is_empty().then_some(Final::Withdrawn)
         } else {
-            None
+            (self.done.len() == u64::from(self.spec.tasks)).then_some(Final::Done)
         }
     }
 
@@ -906,8 +906,30 @@
         self.flush_direct(now);
     }
 
+    /// Tasks whose end is on record by now are cleared directly. The worker's
+    /// tasks change with that, so it reports at once, and the answer can carry
+    /// the next start.
+    fn clear_done(&mut self) {
+        for m in self.fleet.values_mut() {
+            for t in m.tasks.iter_mut() {
+                let safe = !t.cleared
+                    && t.phase == Phase::Ended(Cause::Done)
+                    && self
+                        .jobs
+                        .get(&t.job)
+                        .is_none_or(|j| j.done_committed.contains(t.task));
+                if safe {
+                    t.cleared = true;
+                    let order = wire::clear(task_name(&t.job, t.task), t.attempt);
+                    self.direct.entry(m.name.clone()).or_default().push(order);
+                }
+            }
+        }
+    }
+
     /// Sends out what is urgent between ticks.
     pub fn push(&mut self, now: u64, rev: u64) {
+        self.clear_done();
         self.flush(now, rev);
         self.flush_direct(now);
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -100,7 +100,11 @@
 
     fn set(&mut self, key: &str, data: &Value, stamp: u64, seen: &mut Vec<Seen>) {
         if let Some(id) = key.strip_prefix(JOBS) {
-            // The answer to an own change may be ahead of the watch.
+            // The answer to an own change may be ahead of the watch: what is
+            // over does not come back to life.
+            if self.finals.contains_key(id) {
+                return;
+            }
             if self.jobs.get(id).is_some_and(|l| l.stamp >= stamp) {
                 return;
             }
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -118,6 +118,49 @@
     }
 }
 
+/// Found on a steady day (seed 5): a cancellation was committed, and the user
+/// told so, in the same moment in which the last task was done. The leader then
+/// closed the job as done. What the state service ordered first stands.
+#[test]
+fn cancelled_as_the_last_task_is_done() {
+    let mut s = Sim::new();
+    s.run(1000);
+    s.submit(
+        0,
+        &submission("run-000001", "sweep", 2, 4.0, "normal"),
+        6000,
+    );
+    assert!(s.until(60_000, |s| s.all_done()));
+    let end = s.now;
+    let mut withdrawn = 0;
+    for k in 0..40 {
+        let mut s = Sim::new();
+        s.run(1000);
+        s.submit(
+            0,
+            &submission("run-000001", "sweep", 2, 4.0, "normal"),
+            6000,
+        );
+        s.run(end - 40 + 2 * k - s.now);
+        let slot = s.ask(1, "POST", "/work/run-000001/cancel", vec![]);
+        assert!(s.until(60_000, |s| s.settled() && s.answer(slot).is_some()));
+        let told = s.answer(slot).expect("an answer");
+        withdrawn += usize::from(told.1 == "withdrawn");
+        for n in 0..3 {
+            let again = s.ask(n, "GET", "/work/run-000001", vec![]);
+            s.run(100);
+            assert_eq!(
+                s.answer(again),
+                Some(told.clone()),
+                "{}",
+                s.trace.join("\n")
+            );
+        }
+        s.assert_sound();
+    }
+    assert!((1..40).contains(&withdrawn), "both orders were met");
+}
+
 /// A cancellation is committed while the leader is cut off from the state
 /// service: it must not go on answering workers so long that the job's tasks
 /// outlive `cancel_s`. What it sent meanwhile arrives late and must fail.
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -10,7 +10,7 @@
 use ciborium::{cbor, Value};
 use gaugesill::cloud::{shop, Coming, Kind, Need};
 use gaugesill::front::Admission;
-use gaugesill::job::{Ranges, Record, Shape, Spec, Urgency};
+use gaugesill::job::{Final, Ranges, Record, Shape, Spec, Urgency};
 use gaugesill::lead::{Ask, Lead, Told};
 use gaugesill::net::Outcome;
 use gaugesill::plan::{cycle, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView};
@@ -430,6 +430,24 @@
     assert!(p.leader.is_none());
 }
 
+/// Found beside a cancellation that came with the last task's end: the watch
+/// tells of a job's record after its end is known from an own commit.
+#[test]
+fn late_news_of_a_job_that_is_over() {
+    let mut p = Picture::default();
+    p.loaded = true;
+    p.ended("run-1", Final::Done);
+    let record = Record::new(spec(Shape::Array, 1, 1.0, Urgency::Low), 1);
+    let late = Change {
+        set: Some("g/j/run-1".into()),
+        data: Some(record.to_value()),
+        drop: None,
+        stamp: 3,
+    };
+    assert!(p.news(3, 0, &[late]).is_empty());
+    assert!(p.jobs.is_empty());
+}
+
 #[test]
 fn leadership_is_sure_only_as_long_as_its_grant() {
     let mut l = Lead::new("c0", 3000);
