--- a/tests/life.rs
+++ b/tests/life.rs
@@ -67,6 +67,10 @@
             s.trace.join("\n")
         );
         s.assert_sound();
+        // Submitted, placed, started, done: one of each to read.
+        if [2, 16, 19, 37].contains(&k) {
+            kept(&format!("crash-{k}"), &s.trace);
+        }
     }
 }
 
@@ -104,6 +108,9 @@
             "cancel {k}:\n{}",
             s.trace.join("\n")
         );
+        if k == 20 {
+            kept("cancel", &s.trace);
+        }
         let again = s.ask(0, "GET", "/work/run-000002", vec![]);
         s.run(100);
         assert_eq!(s.answer(again), Some((200, status)));
@@ -200,6 +207,7 @@
         s.trace.join("\n")
     );
     s.assert_sound();
+    kept("deposed-leader", &s.trace);
 }
 
 /// In an outage that all see, workers keep their tasks, users are told at
@@ -293,6 +301,7 @@
         s.trace.join("\n")
     );
     s.assert_sound();
+    kept("quota", &s.trace);
 }
 
 /// Found in the reports of a steady day: the answer to the check-in that told
@@ -357,6 +366,29 @@
     }
 }
 
+/// A machine is cut off: its task runs elsewhere only after the cloud has
+/// deleted it, and the reports that were held back change nothing.
+#[test]
+fn a_machine_behind_a_cut() {
+    let mut s = Sim::new();
+    s.run(1000);
+    s.submit(
+        0,
+        &submission("run-000001", "sweep", 3, 4.0, "best_effort"),
+        20_000,
+    );
+    s.run(9000);
+    let host = s.workers.keys().next().cloned().expect("a machine");
+    s.cut.insert(host.clone());
+    s.note(format!("{host} is cut off"));
+    assert!(s.until(60_000, |s| !s.cloud.machines.contains_key(&host)));
+    s.note(format!("{host} is deleted"));
+    s.heal_machines();
+    assert!(s.until(150_000, |s| s.all_done() && s.settled()));
+    s.assert_sound();
+    kept("cut-machine", &s.trace);
+}
+
 /// A machine dies without a word: its tasks run elsewhere once the cloud has
 /// confirmed that it is gone.
 #[test]
