--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -1,9 +1,7 @@
 //! What to buy: from the tasks without a place to rentals, by price. Pure.
 
-use std::collections::BTreeMap;
-
 use crate::job::Spec;
-use crate::plan::{allowed, zone_cap, Room};
+use crate::plan::{allowed, zone_cap, Room, Zones};
 use crate::wire::Flavor;
 
 /// One kind of machine that the cloud rents.
@@ -20,26 +18,28 @@
     pub spec: std::sync::Arc<Spec>,
     pub count: u32,
     /// Where its other tasks are.
-    pub zones: BTreeMap<String, u32>,
+    pub zones: Zones,
     /// Work for spot machines may have an ordinary one that costs at most
     /// this many times as much a task; 0: none.
     pub dear: f64,
 }
 
 impl Need {
-    /// Whether one more of its tasks may go to a zone.
-    fn zone_ok(&self, zone: &str, used: &BTreeMap<String, u32>) -> bool {
-        let elsewhere = used.iter().any(|(z, n)| *n > 0 && z != zone);
-        !(self.spec.one_zone && elsewhere)
-            && used.get(zone).copied().unwrap_or(0) < zone_cap(&self.spec)
+    /// How many more of its tasks may go to a zone.
+    fn zone_room(&self, zone: &str, used: &Zones) -> u32 {
+        if self.spec.one_zone && used.iter().any(|(z, n)| *n > 0 && **z != *zone) {
+            return 0;
+        }
+        let here = used.get(zone).copied().unwrap_or(0);
+        zone_cap(&self.spec).saturating_sub(here)
     }
 }
 
-/// A machine on its way, or one that will be rented now.
+/// Machines of a kind on their way.
 #[derive(Debug, Clone)]
 pub struct Coming {
     pub kind: Kind,
-    pub free: Room,
+    pub count: u64,
 }
 
 pub fn room(f: &Flavor) -> Room {
@@ -57,57 +57,110 @@
     })
 }
 
+/// Machines on their way, or to be rented now, with the same room left.
+#[derive(Debug, Clone, Copy)]
+struct Lot {
+    kind: usize,
+    free: Room,
+    count: u64,
+}
+
 /// What is decided on so far.
 #[derive(Clone)]
 struct Basket {
-    coming: Vec<Coming>,
-    bought: Vec<(Kind, u64)>,
-    total: usize,
+    lots: Vec<Lot>,
+    bought: Vec<u64>,
+    total: u64,
     price: f64,
 }
 
-struct Market<'a> {
-    flavors: &'a [Flavor],
-    blocked: &'a dyn Fn(&Kind) -> bool,
-    most: usize,
+struct Offer {
+    kind: Kind,
+    room: Room,
+    price: f64,
+    blocked: bool,
+}
+
+struct Market {
+    offers: Vec<Offer>,
+    /// For each need and kind, how many tasks of later needs the kind could
+    /// hold.
+    later: Vec<Vec<u32>>,
+    most: u64,
 }
 
-/// Decides what to rent so that every need has a place on what is coming.
+/// Decides what to rent so that every need has a place on what is coming, at
+/// most `most` machines.
 pub fn shop(
     needs: &[Need],
     coming: Vec<Coming>,
     flavors: &[Flavor],
     blocked: &dyn Fn(&Kind) -> bool,
-    most: usize,
+    most: u64,
 ) -> Vec<(Kind, u64)> {
-    let market = Market {
-        flavors,
-        blocked,
-        most,
-    };
+    let mut offers = Vec::new();
+    for f in flavors {
+        for zone in &f.halls {
+            for spot in [true, false] {
+                let kind = Kind {
+                    flavor: f.sku.clone(),
+                    zone: zone.clone(),
+                    spot,
+                };
+                offers.push(Offer {
+                    room: room(f),
+                    price: if spot { f.spot_price } else { f.hourly },
+                    blocked: blocked(&kind),
+                    kind,
+                });
+            }
+        }
+    }
+    let mut later = vec![vec![0u32; offers.len()]; needs.len() + 1];
+    for (n, need) in needs.iter().enumerate().rev() {
+        for (k, o) in offers.iter().enumerate() {
+            let able = allowed(&need.spec, &o.kind.flavor, &o.kind.zone, o.kind.spot);
+            let own = if able { need.count } else { 0 };
+            later[n][k] = later[n + 1][k].saturating_add(own);
+        }
+    }
     let mut basket = Basket {
-        coming,
-        bought: vec![],
+        lots: coming
+            .iter()
+            .filter_map(|c| {
+                let kind = offers.iter().position(|o| o.kind == c.kind)?;
+                Some(Lot {
+                    kind,
+                    free: offers[kind].room,
+                    count: c.count,
+                })
+            })
+            .collect(),
+        bought: vec![0; offers.len()],
         total: 0,
         price: 0.0,
     };
+    let mut zones: Vec<&String> = flavors.iter().flat_map(|f| &f.halls).collect();
+    zones.sort();
+    zones.dedup();
+    let market = Market {
+        offers,
+        later,
+        most,
+    };
     for (n, need) in needs.iter().enumerate() {
-        let later = &needs[n + 1..];
         if !need.spec.one_zone || need.zones.values().any(|c| *c > 0) {
-            market.fill(need, later, &need.zones, &mut basket);
+            market.fill(n, need, &need.zones, &mut basket);
             continue;
         }
         // All in one zone: the one where the least is left over, then the
         // cheapest.
-        let mut zones: Vec<&String> = flavors.iter().flat_map(|f| &f.halls).collect();
-        zones.sort();
-        zones.dedup();
         let best = zones
-            .into_iter()
+            .iter()
             .map(|z| {
                 let mut b = basket.clone();
-                let only = BTreeMap::from([(z.clone(), 1)]);
-                let left = market.fill(need, later, &only, &mut b);
+                let only = Zones::from([(z.as_str().into(), 1)]);
+                let left = market.fill(n, need, &only, &mut b);
                 (left, b)
             })
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.price.total_cmp(&b.1.price)));
@@ -115,104 +168,133 @@
             basket = b;
         }
     }
-    basket.bought
+    let counts = basket.bought.into_iter();
+    market
+        .offers
+        .into_iter()
+        .zip(counts)
+        .filter(|(_, n)| *n > 0)
+        .map(|(o, n)| (o.kind, n))
+        .collect()
 }
 
-impl Market<'_> {
+impl Market {
     /// Finds places for one need on what is coming, buys for the rest, and
     /// tells how many tasks are left over.
-    fn fill(
-        &self,
-        need: &Need,
-        later: &[Need],
-        zones: &BTreeMap<String, u32>,
-        b: &mut Basket,
-    ) -> u32 {
+    fn fill(&self, n: usize, need: &Need, zones: &Zones, b: &mut Basket) -> u32 {
         let room_of = Room::of(&need.spec);
         let mut used = zones.clone();
         let mut left = need.count;
-        let take = |c: &mut Coming, left: &mut u32, used: &mut BTreeMap<String, u32>| {
-            while *left > 0 && c.free.fits(room_of) && need.zone_ok(&c.kind.zone, used) {
-                c.free.sub(room_of);
-                *used.entry(c.kind.zone.clone()).or_insert(0) += 1;
-                *left -= 1;
+        let ok: Vec<bool> = self
+            .offers
+            .iter()
+            .map(|o| allowed(&need.spec, &o.kind.flavor, &o.kind.zone, o.kind.spot))
+            .collect();
+        for i in 0..b.lots.len() {
+            if left == 0 {
+                break;
             }
-        };
-        for c in b.coming.iter_mut() {
-            if allowed(&need.spec, &c.kind.flavor, &c.kind.zone, c.kind.spot) {
-                take(c, &mut left, &mut used);
+            if ok[b.lots[i].kind] && b.lots[i].count > 0 && b.lots[i].free.fits(room_of) {
+                self.put(need, room_of, i, &mut left, &mut used, b);
             }
         }
+        b.lots.retain(|l| l.count > 0);
         while left > 0 && b.total < self.most {
-            let Some((price, kind, free)) = self.cheapest(need, later, left, &used) else {
+            let Some(kind) = self.cheapest(n, need, left, &used, &ok) else {
                 break;
             };
-            let mut c = Coming {
-                kind: kind.clone(),
-                free,
-            };
-            take(&mut c, &mut left, &mut used);
-            b.coming.push(c);
-            b.price += price;
-            b.total += 1;
-            match b.bought.iter_mut().find(|x| x.0 == kind) {
-                Some(x) => x.1 += 1,
-                None => b.bought.push((kind, 1)),
-            }
+            let o = &self.offers[kind];
+            let each = o.room.times(room_of).max(1);
+            let most = left.min(need.zone_room(&o.kind.zone, &used));
+            let count = u64::from(most / each).clamp(1, self.most - b.total);
+            b.price += o.price * count as f64;
+            b.total += count;
+            b.bought[kind] += count;
+            b.lots.push(Lot {
+                kind,
+                free: o.room,
+                count,
+            });
+            self.put(need, room_of, b.lots.len() - 1, &mut left, &mut used, b);
+            b.lots.retain(|l| l.count > 0);
         }
         left
     }
 
+    /// Puts tasks on the machines of a lot; those used in part or in full
+    /// become lots of their own.
+    fn put(
+        &self,
+        need: &Need,
+        room_of: Room,
+        i: usize,
+        left: &mut u32,
+        used: &mut Zones,
+        b: &mut Basket,
+    ) {
+        let lot = b.lots[i];
+        let zone = &self.offers[lot.kind].kind.zone;
+        let each = lot.free.times(room_of);
+        let most = (*left).min(need.zone_room(zone, used));
+        if each == 0 || most == 0 {
+            return;
+        }
+        let full = lot.count.min(u64::from(most / each));
+        let rest = if full < lot.count { most % each } else { 0 };
+        let parts = [(full, each), (u64::from(rest > 0), rest)];
+        for (count, tasks) in parts.into_iter().filter(|p| p.0 > 0) {
+            let mut free = lot.free;
+            for _ in 0..tasks {
+                free.sub(room_of);
+            }
+            b.lots[i].count -= count;
+            b.lots.push(Lot {
+                kind: lot.kind,
+                free,
+                count,
+            });
+        }
+        let put = full as u32 * each + rest;
+        *left -= put;
+        *used.entry(zone.as_str().into()).or_insert(0) += put;
+    }
+
     /// The kind with the lowest price for each task that would go on it.
     fn cheapest(
         &self,
+        n: usize,
         need: &Need,
-        later: &[Need],
         left: u32,
-        used: &BTreeMap<String, u32>,
-    ) -> Option<(f64, Kind, Room)> {
-        let mut best: Option<(f64, f64, Kind, Room)> = None;
-        let need_room = Room::of(&need.spec);
+        used: &Zones,
+        ok: &[bool],
+    ) -> Option<usize> {
+        let room_of = Room::of(&need.spec);
         let spot_price = self
-            .flavors
+            .offers
             .iter()
-            .map(|f| f.spot_price / f64::from(room(f).times(need_room)))
+            .filter(|o| o.kind.spot)
+            .map(|o| o.price / f64::from(o.room.times(room_of)))
             .fold(f64::INFINITY, f64::min);
-        for f in self.flavors {
-            let fit = room(f).times(need_room);
-            if fit == 0 {
+        let mut best: Option<(f64, usize)> = None;
+        for (k, o) in self.offers.iter().enumerate() {
+            let fit = o.room.times(room_of);
+            if fit == 0
+                || !ok[k]
+                || o.blocked
+                || need.zone_room(&o.kind.zone, used) == 0
+                || (need.spec.spot
+                    && !o.kind.spot
+                    && o.price / f64::from(fit) > need.dear * spot_price)
+            {
                 continue;
             }
-            for zone in &f.halls {
-                for spot in [true, false] {
-                    let kind = Kind {
-                        flavor: f.sku.clone(),
-                        zone: zone.clone(),
-                        spot,
-                    };
-                    if !allowed(&need.spec, &f.sku, zone, spot)
-                        || (need.spec.spot
-                            && !spot
-                            && f.hourly / f64::from(fit) > need.dear * spot_price)
-                        || !need.zone_ok(zone, used)
-                        || (self.blocked)(&kind)
-                    {
-                        continue;
-                    }
-                    let price = if spot { f.spot_price } else { f.hourly };
-                    // What later jobs could still put on it counts.
-                    let more: u32 = later
-                        .iter()
-                        .filter(|o| allowed(&o.spec, &f.sku, zone, spot))
-                        .map(|o| o.count)
-                        .sum();
-                    let per = price / f64::from(fit.min(left.saturating_add(more)).max(1));
-                    if best.as_ref().is_none_or(|b| per < b.0 - 1e-9) {
-                        best = Some((per, price, kind, room(f)));
-                    }
-                }
+            // What later jobs could still put on it counts.
+            let more = self.later[n + 1][k];
+            let per = o.price / f64::from(fit.min(left.saturating_add(more)).max(1));
+            if best.is_none_or(|b| per < b.0 - 1e-9) {
+                best = Some((per, k));
             }
         }
-        best.map(|b| (b.1, b.2, b.3))
+        best.map(|b| b.1)
     }
 }
--- a/src/control/fleet_changes.rs
+++ b/src/control/fleet_changes.rs
@@ -24,9 +24,10 @@
                 )
             });
             if m.flavor.is_empty() {
-                m.flavor.clone_from(&l.flavor);
-                m.zone.clone_from(&l.hall);
+                m.flavor = l.flavor.as_str().into();
+                m.zone = l.hall.as_str().into();
                 m.spot = l.loaner;
+                m.view = None;
             }
             if m.addr.is_none() {
                 m.addr = l.endpoint.as_ref().and_then(|e| e.parse().ok());
@@ -40,7 +41,7 @@
         for m in self.fleet.values_mut() {
             let was = !matches!(m.listed, Listed::Never | Listed::Gone);
             let old = m.known_since + 2 * lag < asked || m.listed == Listed::Running;
-            if !names.contains(m.name.as_str()) && was && old && m.known_since + lag < asked {
+            if !names.contains(&*m.name) && was && old && m.known_since + lag < asked {
                 m.listed = Listed::Gone;
             }
         }
@@ -82,6 +83,14 @@
         }
     }
 
+    /// A rental that the budget of calls has no room for yet.
+    pub fn not_asked(&mut self, booking: &str, now: u64) {
+        if let Some(b) = self.bookings.iter_mut().find(|b| b.name == booking) {
+            b.flying = false;
+            b.next_try = now + Self::ms(1.0 / self.cl.cloud.rps);
+        }
+    }
+
     pub(super) fn block(&mut self, kind: &Kind, now: u64) {
         let wait = self.flavor(&kind.flavor).map_or(10.0, |f| f.boot_s / 4.0);
         info!("no capacity for {kind:?}");
@@ -97,17 +106,20 @@
                 }
                 continue;
             }
-            self.fleet.remove(h);
-            self.direct.remove(h);
-            self.holds.retain(|x| x.host != *h);
             self.deletes.insert(h.clone(), now);
-            for j in self.jobs.values_mut() {
-                let before = j.placed.len();
-                j.placed.retain(|p| p.host != *h);
-                if j.placed.len() != before {
-                    j.touch();
-                }
+            self.direct.remove(h.as_str());
+            self.startable.remove(h.as_str());
+            let Some(m) = self.fleet.get_mut(h) else {
+                continue;
+            };
+            let (on, held) = (std::mem::take(&mut m.on), std::mem::take(&mut m.held));
+            for o in on {
+                self.unplace(&o.job, o.task, now);
             }
+            for x in held {
+                self.drop_holds(&x.job);
+            }
+            self.fleet.remove(h);
             self.dirty = true;
         }
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,23 +6,31 @@
 mod reports;
 mod upkeep;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tracing::{debug, info, warn};
 
 use crate::cloud::{self, Coming, Kind, Need};
-use crate::fleet::{Cause, Listed, Machine, OnMachine, Phase};
+use crate::fleet::{Cause, Expect, Listed, Machine, OnRecord, Phase, Told};
 use crate::job::{task_name, Final, Ranges, Record, Run, Shape, Spec};
 use crate::plan::{
-    self, Decision, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView,
+    self, Decision, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView, Zones,
 };
 use crate::settings::{Cluster, Operator};
 use crate::state::Commit;
 use crate::store::{final_key, job_key, Live, Picture, LEADER};
 use crate::wire::{self, Cond, Flavor, Order, Report, Write};
 
+/// One start that went straight to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Start {
+    pub job: Arc<str>,
+    pub task: u32,
+    pub attempt: u64,
+}
+
 /// What the leader wants done outside.
 #[derive(Debug, Clone)]
 pub enum Effect {
@@ -34,13 +42,15 @@
         writes: Vec<Write>,
     },
     Direct {
-        host: String,
+        host: Arc<str>,
         to: SocketAddr,
         tenure: u64,
         orders: Vec<Order>,
+        /// Which of them are starts.
+        starts: Vec<Start>,
     },
     Inspect {
-        host: String,
+        host: Arc<str>,
         to: SocketAddr,
     },
     Rent {
@@ -60,16 +70,26 @@
     sent: Option<u64>,
 }
 
+/// How a start went out.
+#[derive(Debug, Clone, Copy)]
+enum Sent {
+    /// In the answer to this check-in. Such an answer is taken at once or
+    /// never, so a later check-in tells.
+    Answer { tenure: u64, serial: u64 },
+    /// Straight to the worker, once only. Unless the worker says what became
+    /// of it, it may yet be carried out until the worker's session ends.
+    Direct { tenure: u64, at: u64 },
+}
+
 /// A task that may be on a machine.
 #[derive(Debug, Clone)]
 pub struct Placed {
     pub task: u32,
     pub attempt: u64,
-    pub host: String,
+    pub host: Arc<str>,
     /// The job's count of changes that brought it; 0 for an earlier leader's.
     ver: u64,
-    /// The check-in whose answer carried the start.
-    sent: Option<(u64, u64)>,
+    sent: Option<Sent>,
     sends: u32,
     pub phase: Option<Phase>,
     since: u64,
@@ -79,6 +99,7 @@
 
 #[derive(Debug)]
 pub struct Job {
+    id: Arc<str>,
     pub spec: Arc<Spec>,
     pub at: u64,
     pub cancelled: bool,
@@ -87,9 +108,16 @@
     pub placed: Vec<Placed>,
     stamp: u64,
     ver: u64,
+    /// Changes up to this one are wanted on record at once; later ones may
+    /// wait for others to go with them.
+    prompt: u64,
     committed: u64,
+    /// Since when a change waits.
+    changed_at: u64,
     done_committed: Ranges,
     flying: Option<u64>,
+    /// What was done as of the change on its way.
+    flying_done: Ranges,
     retry_at: u64,
     wait_rev: u64,
     rest_until: u64,
@@ -97,12 +125,15 @@
     /// Cycles in a row that found no room.
     misses: u32,
     miss_until: u64,
-    shun: HashSet<String>,
+    shun: HashSet<Arc<str>>,
+    /// Machines with room held for it, and since when.
+    holds: BTreeSet<Arc<str>>,
+    held_at: u64,
 }
 
 impl Placed {
     /// A place given at the job's change `ver`; 0 for an earlier leader's.
-    fn new(task: u32, attempt: u64, host: String, ver: u64, now: u64) -> Placed {
+    fn new(task: u32, attempt: u64, host: Arc<str>, ver: u64, now: u64) -> Placed {
         Placed {
             task,
             attempt,
@@ -134,25 +165,29 @@
         }
     }
 
-    /// Whether what a machine reports is a place on record.
-    fn has(&self, t: &OnMachine, host: &str) -> bool {
-        self.placed
-            .iter()
-            .any(|p| p.task == t.task && p.attempt == t.attempt && p.host == host)
-    }
-
-    fn touch(&mut self) -> u64 {
+    fn touch(&mut self, now: u64) -> u64 {
+        if self.ver <= self.committed {
+            self.changed_at = now;
+        }
         self.ver += 1;
         self.ver
     }
 
+    fn open(&self) -> u64 {
+        if self.cancelled {
+            return 0;
+        }
+        u64::from(self.spec.tasks).saturating_sub(self.done.len() + self.placed.len() as u64)
+    }
+
     /// Tasks without a place, the first `most`.
     fn want(&self, most: usize) -> Vec<u32> {
-        if self.cancelled {
+        let most = most.min(self.open() as usize);
+        if most == 0 {
             return vec![];
         }
         let placed: HashSet<u32> = self.placed.iter().map(|p| p.task).collect();
-        let mut out = Vec::new();
+        let mut out = Vec::with_capacity(most);
         let mut n = 0;
         let mut ranges = self.done.0.iter();
         let mut next = ranges.next();
@@ -178,8 +213,8 @@
         let mut runs: Vec<Run> = Vec::new();
         for p in placed {
             match runs.last_mut() {
-                Some(r) if r.0 + r.1 == p.task && r.2 == p.attempt && r.3 == p.host => r.1 += 1,
-                _ => runs.push(Run(p.task, 1, p.attempt, p.host.clone())),
+                Some(r) if r.0 + r.1 == p.task && r.2 == p.attempt && *r.3 == *p.host => r.1 += 1,
+                _ => runs.push(Run(p.task, 1, p.attempt, p.host.to_string())),
             }
         }
         Record {
@@ -204,14 +239,6 @@
     tries: u32,
 }
 
-#[derive(Debug, Clone)]
-struct Hold {
-    job: String,
-    host: String,
-    room: Room,
-    since: u64,
-}
-
 /// The leadership that a [`Control`] acts under.
 #[derive(Debug, Clone)]
 pub struct Seat {
@@ -222,6 +249,9 @@
 }
 
 /// What the leader keeps in mind. Made anew with each leadership.
+///
+/// Jobs know their places, machines what is on record for them; both change
+/// together, in `put_on` and `unplace` only.
 #[derive(Debug)]
 pub struct Control {
     me: String,
@@ -233,18 +263,22 @@
     pub jobs: BTreeMap<String, Job>,
     pub fleet: BTreeMap<String, Machine>,
     flavors: Arc<Vec<Flavor>>,
-    holds: Vec<Hold>,
     blocked: HashMap<Kind, u64>,
     bookings: Vec<Booking>,
     next_booking: u64,
-    direct: BTreeMap<String, Vec<Order>>,
+    direct: BTreeMap<Arc<str>, Vec<Order>>,
+    /// Machines with starts on record that have not gone out.
+    startable: BTreeSet<Arc<str>>,
     effects: Vec<Effect>,
     /// Something changed that the planner should look at.
     pub dirty: bool,
+    /// Tasks waited for a place when the last snapshot was taken.
+    waiting: bool,
     listed_once: bool,
     deletes: HashMap<String, u64>,
     /// How often work came that needs ordinary machines, by class.
     arrivals: BTreeMap<String, Arrivals>,
+    upkeep_next: u64,
 }
 
 /// How often jobs of a class come, the older the less it counts.
@@ -275,6 +309,12 @@
 const OVERTAKEN_BOOTS: f64 = 3.0;
 /// Boot times after which a machine is not waited for any more.
 const LATE_BOOTS: f64 = 1.6;
+/// How often machines and gangs are looked over, as a share of the time in
+/// which the tasks of a gang miss one another.
+const UPKEEP_SHARE: f64 = 0.1;
+/// How long a change that nobody waits for may stay off the record, in the
+/// same unit, so that others go with it.
+const LAZY_SHARE: f64 = 0.25;
 
 impl Control {
     pub fn new(
@@ -295,16 +335,18 @@
             jobs: BTreeMap::new(),
             fleet: BTreeMap::new(),
             flavors,
-            holds: vec![],
             blocked: HashMap::new(),
             bookings: vec![],
             next_booking: 1,
             direct: BTreeMap::new(),
+            startable: BTreeSet::new(),
             effects: vec![],
             dirty: true,
+            waiting: true,
             listed_once: false,
             deletes: HashMap::new(),
             arrivals: BTreeMap::new(),
+            upkeep_next: 0,
         };
         for (id, live) in &picture.jobs {
             c.job_seen(id, live, now);
@@ -314,6 +356,9 @@
 
     pub fn set_flavors(&mut self, f: Arc<Vec<Flavor>>) {
         self.flavors = f;
+        for m in self.fleet.values_mut() {
+            m.view = None;
+        }
         self.dirty = true;
     }
 
@@ -340,21 +385,26 @@
                 if r.writer.1 > j.committed {
                     j.committed = r.writer.1;
                     j.done_committed = r.done.clone();
+                    self.note_startable(id);
                 }
-                if j.flying == Some(r.writer.1) {
-                    j.flying = None;
+                if let Some(j) = self.jobs.get_mut(id) {
+                    if j.flying == Some(r.writer.1) {
+                        j.flying = None;
+                    }
                 }
             }
-            if r.cancelled && !j.cancelled {
-                j.cancelled = true;
-                self.cancel(id, now);
+            if let Some(j) = self.jobs.get_mut(id) {
+                if r.cancelled && !j.cancelled {
+                    j.cancelled = true;
+                    self.cancel(id, now);
+                }
             }
             return;
         }
         debug!("{id} is new: {:?}", r.spec);
+        let spec = Arc::new(r.spec.clone());
         if !r.spec.spot && !r.cancelled {
             let boot = self.boot_s();
-            let spec = Arc::new(r.spec.clone());
             let n = f64::from(r.spec.tasks);
             let a = self
                 .arrivals
@@ -366,43 +416,45 @@
                 });
             a.weight = a.fade(now, boot) + n;
             a.at = now;
-            a.spec = spec;
+            a.spec = spec.clone();
         }
-        let mut placed = Vec::new();
+        let mut j = Job {
+            id: id.into(),
+            spec,
+            at: r.at,
+            cancelled: r.cancelled,
+            next: r.next,
+            done: r.done.clone(),
+            placed: vec![],
+            stamp: live.stamp,
+            ver: 0,
+            prompt: 0,
+            committed: 0,
+            changed_at: now,
+            done_committed: r.done.clone(),
+            flying: None,
+            flying_done: Ranges::default(),
+            retry_at: 0,
+            wait_rev: 0,
+            rest_until: 0,
+            tries: 0,
+            misses: 0,
+            miss_until: 0,
+            shun: HashSet::new(),
+            holds: BTreeSet::new(),
+            held_at: 0,
+        };
+        if r.runs.is_empty() && j.over().is_some() {
+            j.touch(now);
+        }
+        self.jobs.insert(id.to_string(), j);
         for Run(first, count, attempt, host) in &r.runs {
+            let host: Arc<str> = host.as_str().into();
             for task in *first..first.saturating_add(*count).min(r.spec.tasks) {
-                placed.push(Placed::new(task, *attempt, host.clone(), 0, now));
-            }
-        }
-        for p in &placed {
-            if !self.fleet.contains_key(&p.host) {
-                self.fleet
-                    .insert(p.host.clone(), Machine::new(&p.host, "", "", false, now));
+                let p = Placed::new(task, *attempt, host.clone(), 0, now);
+                self.put_on(id, p, now);
             }
         }
-        self.jobs.insert(
-            id.to_string(),
-            Job {
-                spec: Arc::new(r.spec.clone()),
-                at: r.at,
-                cancelled: r.cancelled,
-                next: r.next,
-                done: r.done.clone(),
-                placed,
-                stamp: live.stamp,
-                ver: 0,
-                committed: 0,
-                done_committed: r.done.clone(),
-                flying: None,
-                retry_at: 0,
-                wait_rev: 0,
-                rest_until: 0,
-                tries: 0,
-                misses: 0,
-                miss_until: 0,
-                shun: HashSet::new(),
-            },
-        );
         if r.cancelled {
             self.cancel(id, now);
         }
@@ -410,23 +462,87 @@
     }
 
     pub fn job_gone(&mut self, id: &str) {
-        self.jobs.remove(id);
-        self.holds.retain(|h| h.job != id);
+        self.drop_holds(id);
+        if let Some(j) = self.jobs.remove(id) {
+            for p in &j.placed {
+                if let Some(m) = self.fleet.get_mut(&*p.host) {
+                    m.on.retain(|o| *o.job != *id);
+                    m.view = None;
+                }
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// A task gets a place: the job and the machine know of it from here on.
+    fn put_on(&mut self, id: &str, p: Placed, now: u64) {
+        let Some(j) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let m = self
+            .fleet
+            .entry(p.host.to_string())
+            .or_insert_with(|| Machine::new(&p.host, "", "", false, now));
+        m.on.push(OnRecord {
+            job: j.id.clone(),
+            task: p.task,
+            attempt: p.attempt,
+            room: Room::of(&j.spec),
+        });
+        m.idle_since = None;
+        m.view = None;
+        j.placed.push(p);
+    }
+
+    /// The place is proven empty.
+    fn unplace(&mut self, id: &str, task: u32, now: u64) {
+        let Some(j) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(k) = j.placed.iter().position(|p| p.task == task) else {
+            return;
+        };
+        let p = j.placed.remove(k);
+        j.touch(now);
+        if let Some(m) = self.fleet.get_mut(&*p.host) {
+            m.on.retain(|o| o.task != task || *o.job != *id);
+            m.view = None;
+        }
+        self.wake();
+    }
+
+    /// Room came free somewhere: gangs that back off for want of it look
+    /// again.
+    fn wake(&mut self) {
+        for j in self.jobs.values_mut() {
+            j.miss_until = 0;
+        }
+        self.dirty = true;
+    }
+
+    fn drop_holds(&mut self, id: &str) {
+        let Some(j) = self.jobs.get_mut(id) else {
+            return;
+        };
+        for host in std::mem::take(&mut j.holds) {
+            if let Some(m) = self.fleet.get_mut(&*host) {
+                m.held.retain(|h| *h.job != *id);
+                m.view = None;
+            }
+        }
         self.dirty = true;
     }
 
     /// A cancelled job's tasks go at once; one whose start never went out
     /// needs no more than to be struck off.
     fn cancel(&mut self, id: &str, now: u64) {
-        self.holds.retain(|h| h.job != id);
+        self.drop_holds(id);
         self.dirty = true;
         let Some(j) = self.jobs.get_mut(id) else {
             return;
         };
-        let before = j.placed.len();
-        j.placed.retain(|p| p.sent.is_some() || p.ver == 0);
-        if j.placed.len() != before || j.placed.is_empty() {
-            j.touch();
+        if j.placed.is_empty() {
+            j.touch(now);
         }
         let tasks: Vec<u32> = j.placed.iter().map(|p| p.task).collect();
         for t in tasks {
@@ -444,7 +560,7 @@
         if p.unsent() {
             // Its start has not gone out, and will not: no report can ever
             // prove the place empty, so it is struck off here.
-            self.unplace(id, task);
+            self.unplace(id, task, now);
             return;
         }
         match &mut p.stop {
@@ -459,6 +575,9 @@
         }
         let order = wire::stop(task_name(id, task), p.attempt, grace_s);
         let host = p.host.clone();
+        if let Some(m) = self.fleet.get_mut(&*host) {
+            m.view = None;
+        }
         self.direct.entry(host).or_default().push(order);
     }
 
@@ -480,7 +599,8 @@
         let Some(j) = self.jobs.get_mut(id) else {
             return;
         };
-        if j.flying == Some(ver) {
+        let flown = j.flying == Some(ver);
+        if flown {
             j.flying = None;
         }
         match c {
@@ -492,13 +612,13 @@
                 }
                 if ver > j.committed {
                     j.committed = ver;
-                    // What was done at that version: nothing has been taken
-                    // back since, so the set sent is a subset of today's.
-                    if ver == j.ver {
-                        j.done_committed = j.done.clone();
+                    if flown {
+                        j.done_committed = std::mem::take(&mut j.flying_done);
                     }
+                    j.changed_at = now;
                 }
                 j.retry_at = now;
+                self.note_startable(id);
             }
             Commit::Conflict { rev, .. } => j.wait_rev = *rev,
             Commit::Refused => j.retry_at = now + 150,
@@ -508,35 +628,70 @@
         }
     }
 
-    fn flush(&mut self, now: u64, rev: u64) {
-        for (id, j) in self.jobs.iter_mut() {
-            if j.flying.is_some() || now < j.retry_at || rev < j.wait_rev {
-                continue;
+    /// A job's places are on record: their starts may go out.
+    fn note_startable(&mut self, id: &str) {
+        let Some(j) = self.jobs.get(id) else { return };
+        for p in &j.placed {
+            if p.unsent() && p.ver <= j.committed {
+                self.startable.insert(p.host.clone());
             }
-            let end = j.over();
-            if j.ver <= j.committed && end.is_none() {
+        }
+    }
+
+    /// Writes what changed. Placements and ends go at once; of the rest, those
+    /// that have waited the longest go as far as `spare` changes allow.
+    fn flush(&mut self, now: u64, rev: u64, mut spare: usize) {
+        let lazy = Self::ms(self.cl.workers.gang_peer_s * LAZY_SHARE);
+        let mut later: Vec<(u64, Arc<str>)> = Vec::new();
+        let mut due: Vec<Arc<str>> = Vec::new();
+        for j in self.jobs.values() {
+            if j.ver <= j.committed
+                || j.flying.is_some()
+                || now < j.retry_at
+                || rev < j.wait_rev
+            {
                 continue;
             }
+            if j.prompt > j.committed || j.over().is_some() {
+                due.push(j.id.clone());
+            } else if now >= j.changed_at + lazy {
+                later.push((j.changed_at, j.id.clone()));
+            }
+        }
+        later.sort_unstable();
+        for (_, id) in later {
+            if spare == 0 {
+                break;
+            }
+            spare -= 1;
+            due.push(id);
+        }
+        for id in due {
+            let Some(j) = self.jobs.get_mut(&*id) else {
+                continue;
+            };
+            let end = j.over();
             let conds = vec![
                 Cond {
                     key: LEADER.into(),
                     stamp: self.leader_stamp,
                 },
                 Cond {
-                    key: job_key(id),
+                    key: job_key(&id),
                     stamp: j.stamp,
                 },
             ];
             let writes = match end {
                 Some(f) => vec![
-                    Write::drop(job_key(id)),
-                    Write::set(final_key(id), f.to_value()),
+                    Write::drop(job_key(&id)),
+                    Write::set(final_key(&id), f.to_value()),
                 ],
-                None => vec![Write::set(job_key(id), j.record(self.epoch).to_value())],
+                None => vec![Write::set(job_key(&id), j.record(self.epoch).to_value())],
             };
             j.flying = Some(j.ver);
+            j.flying_done = j.done.clone();
             self.effects.push(Effect::Write {
-                job: id.clone(),
+                job: id.to_string(),
                 ver: j.ver,
                 end,
                 conds,
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -3,40 +3,39 @@
 
 use super::*;
 
+/// Machines that one request may rent.
+const RENT_MAX: u64 = 50;
+/// A run's numbers and separators in a record, and all of a record that is
+/// not runs.
+const RUN_BYTES: f64 = 26.0;
+const REST_BYTES: f64 = 2000.0;
+
 impl Control {
+    /// Whether new work may go to a machine. It must have been heard with our
+    /// token: a report that shows an older one may be a late copy of a machine
+    /// that is gone, or come from one that our answers don't reach.
     pub(super) fn placeable(&self, m: &Machine, now: u64) -> bool {
         m.leaving.is_none()
             && m.reclaim_at.is_none()
             && !matches!(m.listed, Listed::Failed | Listed::Gone)
-            && self.silent_ms(m, now) <= Self::ms(self.cl.workers.report_s * self.op.silent_reports)
             && m.heard.is_some()
-    }
-
-    /// What is placed where.
-    fn by_host(&self) -> HashMap<&str, Vec<(&str, &Job, &Placed)>> {
-        let mut out: HashMap<&str, Vec<(&str, &Job, &Placed)>> = HashMap::new();
-        for (id, j) in &self.jobs {
-            for p in &j.placed {
-                out.entry(&p.host).or_default().push((id, j, p));
-            }
-        }
-        out
+            && m.epoch >= self.epoch
+            && m.unheeded == 0
+            && self.silent_ms(m, now) <= Self::ms(self.cl.workers.report_s * self.op.silent_reports)
     }
 
     /// Room on a machine, everything counted that may be on it.
-    pub(super) fn free(&self, m: &Machine, placed: &[(&str, &Job, &Placed)]) -> Room {
+    pub(super) fn free(&self, m: &Machine) -> Room {
         let Some(f) = self.flavor(&m.flavor) else {
             return Room::default();
         };
         let mut free = cloud::room(f);
-        for (_, j, _) in placed {
-            free.sub(Room::of(&j.spec));
-        }
-        for t in m.live() {
-            let placed = self.jobs.get(&t.job).map(|j| j.has(t, &m.name));
-            match placed {
-                Some(true) => {}
-                Some(false) => free.sub(Room::of(&self.jobs[&t.job].spec)),
+        for o in &m.on {
+            free.sub(o.room);
+        }
+        for t in m.strays() {
+            match self.jobs.get(&t.job) {
+                Some(j) => free.sub(Room::of(&j.spec)),
                 // Its size is not known any more: nothing fits beside it.
                 None => free = Room::default(),
             }
@@ -74,11 +73,11 @@
             t.ask_gpus += j.spec.gpus * left;
         }
         for m in self.fleet.values() {
-            for t in m.live() {
+            for t in m.strays() {
                 let Some(j) = self.jobs.get(&t.job) else {
                     continue;
                 };
-                if let (false, Some(team)) = (j.has(t, &m.name), out.get_mut(&j.spec.team)) {
+                if let Some(team) = out.get_mut(&j.spec.team) {
                     team.cpus += j.spec.cpus;
                     team.gpus += j.spec.gpus;
                 }
@@ -87,23 +86,27 @@
         out
     }
 
-    pub(super) fn zones_of(&self, id: &str, j: &Job) -> BTreeMap<String, u32> {
-        let mut zones = BTreeMap::new();
+    /// Zones of the tasks that no record puts where they are, by job.
+    fn stray_zones(&self) -> HashMap<&str, Vec<Arc<str>>> {
+        let mut out: HashMap<&str, Vec<Arc<str>>> = HashMap::new();
+        for m in self.fleet.values() {
+            for t in m.strays() {
+                out.entry(t.job.as_str()).or_default().push(m.zone.clone());
+            }
+        }
+        out
+    }
+
+    /// Where a job's tasks are, with those that no record knows of.
+    fn zones_of(&self, j: &Job, strays: &HashMap<&str, Vec<Arc<str>>>) -> Zones {
+        let mut zones = Zones::new();
         for p in &j.placed {
-            if let Some(m) = self.fleet.get(&p.host) {
+            if let Some(m) = self.fleet.get(&*p.host) {
                 *zones.entry(m.zone.clone()).or_insert(0) += 1;
             }
         }
-        for m in self.fleet.values() {
-            for t in m.live().filter(|t| t.job == id) {
-                if !j
-                    .placed
-                    .iter()
-                    .any(|p| p.task == t.task && p.host == m.name)
-                {
-                    *zones.entry(m.zone.clone()).or_insert(0) += 1;
-                }
-            }
+        for z in strays.get(&*j.id).into_iter().flatten() {
+            *zones.entry(z.clone()).or_insert(0) += 1;
         }
         zones
     }
@@ -113,23 +116,23 @@
         !self.flavors.is_empty() && self.listed_once
     }
 
-    /// How many runs a record may hold.
+    /// How many runs a record may hold: a run in JSON takes the name of its
+    /// machine, three numbers and what is between them.
     pub(super) fn runs_max(&self) -> usize {
-        ((self.cl.state.value_kb * 1024.0 - 1500.0) / 80.0).max(4.0) as usize
+        let name = self.fleet.keys().map(String::len).max().unwrap_or(16);
+        let run = name as f64 + RUN_BYTES;
+        ((self.cl.state.value_kb * 1024.0 - REST_BYTES) / run).max(4.0) as usize
     }
 
     /// Jobs for spot machines that are worth an ordinary one: at the rate at
     /// which the machines that are there work off the queue, they would wait
     /// very long.
-    pub(super) fn dear(&self, wall: u64) -> HashSet<String> {
+    pub(super) fn dear(&self, wall: u64) -> HashSet<Arc<str>> {
         let mut slots = 0.0;
         let mut work = 0.0;
         let mut queue = Vec::new();
-        let jobs = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.spec.spot && !j.cancelled);
-        for (id, j) in jobs {
+        let jobs = self.jobs.values();
+        for j in jobs.filter(|j| j.spec.spot && !j.cancelled) {
             let n = j.placed.len() as f64;
             slots += n;
             work += n * j.spec.expected_s;
@@ -139,7 +142,7 @@
                     .spec
                     .due_s
                     .map_or(f64::INFINITY, |d| d + (j.at as f64 - wall as f64) / 1000.0);
-                queue.push((left - j.spec.expected_s, open, id));
+                queue.push((left - j.spec.expected_s, open, &j.id));
             }
         }
         if slots == 0.0 {
@@ -178,16 +181,16 @@
 
     /// Ordinary machines to hold ready for work that spot machines must not
     /// take, by how often such work came lately; and what of that is missing.
-    pub(super) fn kept(&self, now: u64) -> (HashSet<String>, Vec<Need>) {
+    pub(super) fn kept(&self, now: u64) -> (HashSet<Arc<str>>, Vec<Need>) {
         let mut kept = HashSet::new();
         let mut missing = Vec::new();
         let boot = self.boot_s();
-        let taken: HashSet<&str> = self
+        let taken: HashSet<Arc<str>> = self
             .jobs
             .values()
             .filter(|j| !j.spec.spot)
             .flat_map(|j| &j.placed)
-            .map(|p| p.host.as_str())
+            .map(|p| p.host.clone())
             .collect();
         for c in self.arrivals.values() {
             let rate = c.rate(now, boot);
@@ -204,7 +207,7 @@
                         && self
                             .flavor(&m.flavor)
                             .is_some_and(|f| cloud::room(f).fits(need))
-                        && !taken.contains(m.name.as_str())
+                        && !taken.contains(&m.name)
                 })
                 .map(|m| (m.images.len(), m))
                 .collect();
@@ -214,7 +217,7 @@
                 missing.push(Need {
                     spec: c.spec.clone(),
                     count: (want - able.len()) as u32,
-                    zones: BTreeMap::new(),
+                    zones: Zones::new(),
                     dear: 0.0,
                 });
             }
@@ -268,90 +271,98 @@
         }
     }
 
+    /// What the planner sees of a machine.
+    fn view(&self, m: &Machine, f: &Flavor, ago: impl Fn(u64) -> f64) -> MachineView {
+        let tasks = m
+            .on
+            .iter()
+            .filter_map(|o| {
+                let j = self.jobs.get(&*o.job)?;
+                let p = j.placed.iter().find(|p| p.task == o.task)?;
+                let saves = j.spec.checkpoint_s > 0.0;
+                Some(TaskView {
+                    job: o.job.clone(),
+                    task: o.task,
+                    room: o.room,
+                    urgency: j.spec.urgency,
+                    team: j.spec.team.as_str().into(),
+                    stoppable: p.stop.is_none(),
+                    cost_s: if saves { j.spec.save_s } else { 1.0 },
+                    since_s: p.running_since.filter(|_| !saves).map(&ago),
+                })
+            })
+            .collect();
+        MachineView {
+            name: m.name.clone(),
+            flavor: m.flavor.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            total: cloud::room(f),
+            free: self.free(m),
+            images: m.images.iter().map(|i| i.0.clone()).collect(),
+            fetch: f.fetch,
+            tasks,
+            held: m.held.clone(),
+        }
+    }
+
     /// `wall` is the time of day in milliseconds, as job records hold it.
     pub fn snapshot(&mut self, now: u64, wall: u64) -> Snapshot {
         self.dirty = false;
         let now_s = wall as f64 / 1000.0;
-        let mut machines = Vec::new();
-        let by_host = self.by_host();
-        for m in self.fleet.values() {
+        let ago = |t: u64| now_s - now.saturating_sub(t) as f64 / 1000.0;
+        let mut machines = Vec::with_capacity(self.fleet.len());
+        let mut fresh = Vec::new();
+        for (n, m) in &self.fleet {
             if !self.placeable(m, now) {
                 continue;
             }
             let Some(f) = self.flavor(&m.flavor) else {
                 continue;
             };
-            let placed = by_host.get(m.name.as_str()).map_or(&[][..], Vec::as_slice);
-            let tasks = placed
-                .iter()
-                .map(|(id, j, p)| {
-                    let ran = p.running_since.map_or(0.0, |t| (now - t) as f64 / 1000.0);
-                    let lost = if j.spec.checkpoint_s > 0.0 {
-                        j.spec.save_s
-                    } else {
-                        ran + 1.0
-                    };
-                    TaskView {
-                        job: id.to_string(),
-                        task: p.task,
-                        room: Room::of(&j.spec),
-                        urgency: j.spec.urgency,
-                        team: j.spec.team.clone(),
-                        stoppable: p.stop.is_none(),
-                        cost_s: lost,
-                    }
-                })
-                .collect();
-            machines.push(MachineView {
-                name: m.name.clone(),
-                flavor: m.flavor.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                total: cloud::room(f),
-                free: self.free(m, placed),
-                images: m.images.iter().map(|i| i.0.clone()).collect(),
-                fetch: f.fetch,
-                tasks,
-                held: self
-                    .holds
-                    .iter()
-                    .filter(|h| h.host == m.name)
-                    .filter_map(|h| {
-                        Some(HeldView {
-                            job: h.job.clone(),
-                            room: h.room,
-                            urgency: self.jobs.get(&h.job)?.spec.urgency,
-                        })
-                    })
-                    .collect(),
-            });
+            match &m.view {
+                Some(v) => machines.push(v.clone()),
+                None => {
+                    let v = Arc::new(self.view(m, f, ago));
+                    fresh.push((n.clone(), v.clone()));
+                    machines.push(v);
+                }
+            }
+        }
+        for (n, v) in fresh {
+            if let Some(m) = self.fleet.get_mut(&n) {
+                m.view = Some(v);
+            }
         }
         let runs_max = self.runs_max();
+        let strays = self.stray_zones();
         let mut jobs = Vec::new();
-        for (id, j) in &self.jobs {
-            let mut want = j.want(if j.spec.shape == Shape::Gang {
+        for j in self.jobs.values() {
+            let gang = j.spec.shape == Shape::Gang;
+            if gang && !j.placed.is_empty() {
+                // Still there in part: the whole of it goes, then starts anew.
+                continue;
+            }
+            let want = j.want(if gang {
                 j.spec.tasks as usize
             } else {
                 WANT_MAX.min(runs_max.saturating_sub(j.placed.len() + j.done.0.len() / 2))
             });
-            if j.spec.shape == Shape::Gang && !j.placed.is_empty() {
-                // Still there in part: the whole of it goes, then starts anew.
-                want.clear();
-            }
             if want.is_empty() {
                 continue;
             }
             jobs.push(JobView {
-                id: id.clone(),
+                id: j.id.clone(),
                 spec: j.spec.clone(),
                 want,
                 at_s: j.at as f64 / 1000.0,
                 start_by: self.start_by(j, now_s),
-                zones: self.zones_of(id, j),
+                zones: self.zones_of(j, &strays),
                 shun: j.shun.clone(),
                 resting: now < j.rest_until.max(j.miss_until),
             });
         }
+        self.waiting = !jobs.is_empty();
         Snapshot {
             machines,
             jobs,
@@ -363,24 +374,33 @@
 
     /// Carries out what was planned, as far as it still holds.
     pub fn apply(&mut self, d: Decision, now: u64, wall: u64) {
+        let mut teams = self.teams();
         for p in d.places {
-            self.place(&p, now);
+            self.place(&p, &mut teams, now);
         }
         for s in &d.stops {
             info!("{}/{} makes room for {}", s.job, s.task, s.by);
             self.stop_saving(&s.job, s.task, now);
         }
         for h in d.holds {
-            self.holds.push(Hold {
-                job: h.job,
-                host: h.host,
-                room: h.room,
-                since: now,
-            });
+            let Some(j) = self.jobs.get_mut(&*h.job) else {
+                continue;
+            };
+            if let Some(m) = self.fleet.get_mut(&*h.host) {
+                m.held.push(HeldView {
+                    job: h.job,
+                    room: h.room,
+                    urgency: j.spec.urgency,
+                });
+                m.idle_since = None;
+                m.view = None;
+                j.holds.insert(h.host);
+                j.held_at = now;
+            }
         }
         for id in &d.failed {
             let max = self.op.backoff_max_s;
-            if let Some(j) = self.jobs.get_mut(id) {
+            if let Some(j) = self.jobs.get_mut(&**id) {
                 // The KEP's standard backoff: from a second on it doubles up
                 // to a cap.
                 j.misses = (j.misses + 1).min(8);
@@ -391,29 +411,27 @@
         self.buy(&d.unmet, now, wall);
     }
 
-    pub(super) fn place(&mut self, p: &plan::Place, now: u64) {
-        let Some(j) = self.jobs.get(&p.job) else {
+    pub(super) fn place(
+        &mut self,
+        p: &plan::Place,
+        teams: &mut HashMap<String, TeamView>,
+        now: u64,
+    ) {
+        let Some(j) = self.jobs.get(&*p.job) else {
             return;
         };
-        if j.cancelled {
-            return;
-        }
-        let need = Room::of(&j.spec);
         let gang = j.spec.shape == Shape::Gang;
-        if gang && !j.placed.is_empty() {
+        if j.cancelled || (gang && !j.placed.is_empty()) {
             return;
         }
+        let need = Room::of(&j.spec);
         let mut left: HashMap<&str, Room> = HashMap::new();
-        let mut team = self.teams().remove(&j.spec.team).unwrap_or_default();
-        let by_host = self.by_host();
-        let mut ok: Vec<(u32, String)> = Vec::new();
+        let mut team = teams.get(&j.spec.team).cloned().unwrap_or_default();
+        let mut ok: Vec<(u32, Arc<str>)> = Vec::new();
         for (task, host) in &p.tasks {
-            let fits = self.fleet.get(host).is_some_and(|m| {
+            let fits = self.fleet.get(&**host).is_some_and(|m| {
                 self.placeable(m, now) && plan::allowed(&j.spec, &m.flavor, &m.zone, m.spot) && {
-                    let free = left.entry(host).or_insert_with(|| {
-                        let on = by_host.get(host.as_str()).map_or(&[][..], Vec::as_slice);
-                        self.free(m, on)
-                    });
+                    let free = left.entry(host).or_insert_with(|| self.free(m));
                     let f = free.fits(need);
                     if f {
                         free.sub(need);
@@ -433,28 +451,27 @@
         if ok.is_empty() {
             return;
         }
-        let Some(j) = self.jobs.get_mut(&p.job) else {
+        teams.insert(j.spec.team.clone(), team);
+        self.drop_holds(&p.job);
+        let Some(j) = self.jobs.get_mut(&*p.job) else {
             return;
         };
         j.misses = 0;
         let attempt = j.next;
         j.next += 1;
-        let ver = j.touch();
+        let ver = j.touch(now);
+        j.prompt = ver;
         debug!("placing {} attempt {attempt}: {ok:?}", p.job);
         for (task, host) in ok {
-            if let Some(m) = self.fleet.get_mut(&host) {
-                m.idle_since = None;
-            }
-            j.placed.push(Placed::new(task, attempt, host, ver, now));
+            self.put_on(&p.job, Placed::new(task, attempt, host, ver, now), now);
         }
-        self.holds.retain(|h| h.job != p.job);
     }
 
     pub(super) fn buy(&mut self, unmet: &[plan::Unmet], now: u64, wall: u64) {
         let mut needs = Vec::new();
         let dear = self.dear(wall);
         for u in unmet {
-            let Some(j) = self.jobs.get(&u.job) else {
+            let Some(j) = self.jobs.get(&*u.job) else {
                 continue;
             };
             if j.cancelled {
@@ -464,7 +481,7 @@
                 spec: j.spec.clone(),
                 count: u.count,
                 zones: u.zones.clone(),
-                dear: if dear.contains(&u.job) {
+                dear: if dear.contains(&*u.job) {
                     self.op.dear_times
                 } else {
                     0.0
@@ -475,51 +492,61 @@
         if needs.is_empty() {
             return;
         }
-        let mut coming = Vec::new();
+        let mut coming: HashMap<Kind, u64> = HashMap::new();
         for m in self.fleet.values() {
             // One that takes far longer than usual may never come up: another
             // is rented in its stead, and the one that comes late given back.
             let late = self
                 .flavor(&m.flavor)
                 .is_some_and(|f| now > m.known_since + Self::ms(LATE_BOOTS * f.boot_s));
+            // One that was heard but does not have our token yet comes, too.
+            let fresh = m.epoch < self.epoch && m.on.is_empty() && m.reclaim_at.is_none();
             let starting = m.leaving.is_none()
-                && m.heard.is_none()
-                && !late
+                && if m.heard.is_none() {
+                    !late
+                } else {
+                    fresh && m.unheeded == 0
+                }
                 && !matches!(m.listed, Listed::Failed | Listed::Gone);
-            if let (true, Some(f)) = (starting, self.flavor(&m.flavor)) {
-                coming.push(Coming {
-                    kind: Kind {
-                        flavor: m.flavor.clone(),
-                        zone: m.zone.clone(),
-                        spot: m.spot,
-                    },
-                    free: cloud::room(f),
-                });
+            if starting {
+                let kind = Kind {
+                    flavor: m.flavor.to_string(),
+                    zone: m.zone.to_string(),
+                    spot: m.spot,
+                };
+                *coming.entry(kind).or_insert(0) += 1;
             }
         }
         for b in &self.bookings {
-            if let Some(f) = self.flavor(&b.kind.flavor) {
-                for _ in 0..b.count {
-                    coming.push(Coming {
-                        kind: b.kind.clone(),
-                        free: cloud::room(f),
-                    });
-                }
-            }
+            *coming.entry(b.kind.clone()).or_insert(0) += b.count;
         }
+        let mut coming: Vec<Coming> = coming
+            .into_iter()
+            .map(|(kind, count)| Coming { kind, count })
+            .collect();
+        coming.sort_by(|a, b| {
+            let key = |c: &Coming| (!c.kind.spot, c.kind.flavor.clone(), c.kind.zone.clone());
+            key(a).cmp(&key(b))
+        });
         let blocked = |k: &Kind| self.blocked.get(k).is_some_and(|t| now < *t);
-        let list = cloud::shop(&needs, coming, &self.flavors, &blocked, 50);
-        for (kind, count) in list {
-            let name = format!("{}-{}-{}", self.me, self.epoch, self.next_booking);
-            self.next_booking += 1;
-            self.bookings.push(Booking {
-                name,
-                kind,
-                count: count.min(50),
-                next_try: now,
-                flying: false,
-                tries: 0,
-            });
+        // As many as the calls of a second may bring.
+        let most = RENT_MAX * (self.cl.cloud.rps as u64).max(1);
+        let list = cloud::shop(&needs, coming, &self.flavors, &blocked, most);
+        for (kind, mut count) in list {
+            while count > 0 {
+                let part = count.min(RENT_MAX);
+                count -= part;
+                let name = format!("{}-{}-{}", self.me, self.epoch, self.next_booking);
+                self.next_booking += 1;
+                self.bookings.push(Booking {
+                    name,
+                    kind: kind.clone(),
+                    count: part,
+                    next_try: now,
+                    flying: false,
+                    tries: 0,
+                });
+            }
         }
         self.book(now);
     }
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -2,155 +2,163 @@
 
 use super::*;
 
+/// Check-ins in a row without any effect of what was told, after which nothing
+/// that we say is thought to reach a machine.
+pub(super) const UNHEEDED_MAX: u32 = 2;
+
 impl Control {
     /// Takes in a worker's report. `checkin` tells whether it came by itself
-    /// or in answer to a direct command.
-    pub fn report(&mut self, r: &Report, checkin: bool, now: u64) {
+    /// or in answer to a direct command. True if it tells of room that waiting
+    /// tasks could have: an answer that waits a moment can carry their starts,
+    /// instead of the next one a report interval later.
+    pub fn report(&mut self, r: &Report, checkin: bool, now: u64) -> bool {
         if self.deletes.contains_key(&r.host) {
             // Gone for good: its report comes late.
-            return;
+            return false;
         }
+        let lease = Self::ms(self.cl.workers.lease_s);
         let m = self
             .fleet
             .entry(r.host.clone())
             .or_insert_with(|| Machine::new(&r.host, &r.flavor, &r.hall, r.loaner, now));
-        let was = (m.heard.is_some(), m.epoch);
+        let was = (m.heard.is_some(), m.epoch, m.tenure);
         if !m.take(r, now) {
-            return;
+            return false;
         }
-        let woke = was != (true, m.epoch);
+        let woke = (was.0, was.1) != (true, m.epoch);
         if m.delete_sent.is_some() && m.leaving.is_none() {
             m.leaving = Some("its deletion was sent");
         }
-        let host = r.host.clone();
+        if checkin {
+            m.heed(r);
+        }
+        if was.0 && m.tenure > was.2 && m.answered.is_some_and(|t| now < t + lease * 3 / 4) {
+            // Its lease ran out although its check-ins were answered: the
+            // answers don't reach it.
+            m.unheeded += UNHEEDED_MAX;
+        }
+        let host = m.name.clone();
         let fresh = r.epoch >= self.epoch;
-        let mine: Vec<(String, u32)> = self
-            .jobs
-            .iter()
-            .flat_map(|(id, j)| {
-                j.placed
-                    .iter()
-                    .filter(|p| p.host == host)
-                    .map(move |p| (id.clone(), p.task))
-            })
-            .collect();
-        let on = self.fleet[&host].tasks.clone();
-        for (id, task) in mine {
-            let Some(j) = self.jobs.get_mut(&id) else {
+        let mine = m.on.clone();
+        let mut room = !m.busy() && (woke || m.idle_since == Some(now) || r.pieces.is_empty());
+        for o in mine {
+            let Some(j) = self.jobs.get_mut(&*o.job) else {
                 continue;
             };
-            let Some(k) = j.placed.iter().position(|p| p.task == task) else {
+            let Some(p) = j.placed.iter_mut().find(|p| p.task == o.task) else {
                 continue;
             };
-            let p = &mut j.placed[k];
-            let found = on
+            let found = self.fleet[&r.host]
+                .tasks
                 .iter()
-                .find(|t| t.task == task && t.attempt == p.attempt && t.job == id);
-            match found.map(|t| t.phase) {
-                Some(Phase::Ended(cause)) => self.ended(&id, task, &host, cause, now),
+                .find(|t| t.task == o.task && t.attempt == o.attempt && *t.job == *o.job)
+                .map(|t| t.phase);
+            match found {
+                Some(Phase::Ended(cause)) => {
+                    room = true;
+                    self.ended(&o.job, o.task, &host, cause, now);
+                }
                 Some(phase) => {
                     if phase == Phase::Running && p.running_since.is_none() {
-                        debug!("{id}/{task} runs on {host}");
+                        debug!("{} runs on {host}", task_name(&o.job, o.task));
                         p.running_since = Some(now);
-                    }
-                    if p.phase.is_none_or(|x| x == Phase::Fetching) && phase != Phase::Fetching {
-                        let (image, gb) = (j.spec.image.clone(), j.spec.image_gb);
-                        let f = self.flavors.iter().find(|f| f.sku == r.flavor).cloned();
-                        if let Some(m) = self.fleet.get_mut(&host) {
-                            m.cached(&image, gb, f.as_ref());
+                        if let Some(m) = self.fleet.get_mut(&r.host) {
+                            m.view = None;
                         }
                     }
-                    if let Some(p) = self.jobs.get_mut(&id).and_then(|j| j.placed.get_mut(k)) {
-                        p.phase = Some(phase);
+                    let fetched = p.phase.is_none_or(|x| x == Phase::Fetching)
+                        && phase != Phase::Fetching;
+                    p.phase = Some(phase);
+                    if fetched {
+                        let f = self.flavors.iter().find(|f| f.sku == r.flavor);
+                        if let Some(m) = self.fleet.get_mut(&r.host) {
+                            m.cached(&j.spec.image, j.spec.image_gb, f);
+                        }
                     }
                 }
                 None => {
-                    let proven = if p.phase.is_some() {
-                        true
-                    } else if p.ver == 0 {
-                        // An earlier leader's start can't be taken any more
-                        // once the worker has seen this epoch.
-                        fresh
-                    } else {
-                        // A start travels in the answer to a check-in only,
-                        // and the next check-in comes after it was taken or
-                        // dropped. Other bodies may overtake the answer.
-                        checkin && p.sent.is_some_and(|s| (r.tenure, r.serial) > s)
-                    };
+                    let proven = p.phase.is_some()
+                        || match (p.ver, p.sent) {
+                            // An earlier leader's start can't be taken any
+                            // more once the worker has seen this epoch.
+                            (0, _) => fresh,
+                            (_, None) => false,
+                            // A start travels in the answer to a check-in, and
+                            // the next check-in comes after it was taken or
+                            // dropped. Other bodies may overtake the answer.
+                            (_, Some(Sent::Answer { tenure, serial })) => {
+                                checkin && (r.tenure, r.serial) > (tenure, serial)
+                            }
+                            // One that went straight to the worker may lie
+                            // in the network until the session is over.
+                            (_, Some(Sent::Direct { tenure, .. })) => r.tenure > tenure,
+                        };
                     if !proven {
                         continue;
                     }
                     let again = p.phase.is_none() && p.ver > 0 && p.sends < 3 && p.stop.is_none();
                     if again {
                         p.sent = None;
+                        self.startable.insert(host.clone());
                     } else {
-                        debug!("{id}/{task} is not on {host}");
-                        self.unplace(&id, task);
+                        debug!("{} is not on {host}", task_name(&o.job, o.task));
+                        room = true;
+                        self.unplace(&o.job, o.task, now);
                     }
                 }
             }
         }
+        let Some(m) = self.fleet.get_mut(&r.host) else {
+            return false;
+        };
         // What has no place on record must not be there.
-        for t in &on {
-            let known = self.jobs.get(&t.job).is_some_and(|j| j.has(t, &host));
-            if !known && !matches!(t.phase, Phase::Ended(_)) {
-                let order = wire::stop(task_name(&t.job, t.task), t.attempt, 0.0);
-                self.direct.entry(host.clone()).or_default().push(order);
-            }
+        let strays: Vec<Order> = m
+            .strays()
+            .map(|t| wire::stop(task_name(&t.job, t.task), t.attempt, 0.0))
+            .collect();
+        m.settle_idle(now);
+        let placeable = m.leaving.is_none() && m.reclaim_at.is_none() && fresh;
+        if !strays.is_empty() {
+            self.direct.entry(host).or_default().extend(strays);
         }
-        self.settle_idle(&host, now);
         if woke {
             self.wake();
         }
+        room && placeable && self.waiting
     }
 
-    pub(super) fn settle_idle(&mut self, host: &str, now: u64) {
-        let busy = self
-            .jobs
-            .values()
-            .any(|j| j.placed.iter().any(|p| p.host == host))
-            || self.holds.iter().any(|h| h.host == host);
-        self.set_idle(host, busy, now);
-    }
-
-    /// Machines that something is placed on or held for.
-    pub(super) fn busy_hosts(&self) -> HashSet<String> {
-        let placed = self.jobs.values().flat_map(|j| &j.placed);
-        placed
-            .map(|p| p.host.clone())
-            .chain(self.holds.iter().map(|h| h.host.clone()))
-            .collect()
-    }
-
-    pub(super) fn set_idle(&mut self, host: &str, busy: bool, now: u64) {
-        if let Some(m) = self.fleet.get_mut(host) {
-            if busy || m.live().next().is_some() {
-                m.idle_since = None;
-            } else if m.idle_since.is_none() {
-                m.idle_since = Some(now);
-            }
-        }
-    }
-
-    /// Room came free somewhere: gangs that back off for want of it look
-    /// again.
-    pub(super) fn wake(&mut self) {
-        for j in self.jobs.values_mut() {
-            j.miss_until = 0;
+    /// A worker has said that it did not carry out a start that went straight
+    /// to it, or the start never left: it may go out anew.
+    pub fn not_started(&mut self, host: &str, starts: &[Start], shut: bool, now: u64) {
+        if let Some(m) = self.fleet.get_mut(host).filter(|_| shut) {
+            m.shut_until = now + Self::ms(self.cl.workers.report_s);
         }
-        self.dirty = true;
-    }
-
-    /// The place is proven empty.
-    pub(super) fn unplace(&mut self, id: &str, task: u32) {
-        if let Some(j) = self.jobs.get_mut(id) {
-            j.placed.retain(|p| p.task != task);
-            j.touch();
-            self.wake();
+        for s in starts {
+            let Some(j) = self.jobs.get_mut(&*s.job) else {
+                continue;
+            };
+            let p = j.placed.iter_mut().find(|p| {
+                p.task == s.task
+                    && p.attempt == s.attempt
+                    && *p.host == *host
+                    && p.phase.is_none()
+                    && matches!(p.sent, Some(Sent::Direct { .. }))
+            });
+            let Some(p) = p else { continue };
+            p.sent = None;
+            self.startable.insert(p.host.clone());
+            self.dirty = true;
         }
     }
 
-    pub(super) fn ended(&mut self, id: &str, task: u32, host: &str, cause: Cause, now: u64) {
+    pub(super) fn ended(
+        &mut self,
+        id: &str,
+        task: u32,
+        host: &Arc<str>,
+        cause: Cause,
+        now: u64,
+    ) {
         let Some(j) = self.jobs.get_mut(id) else {
             return;
         };
@@ -167,7 +175,7 @@
                 j.tries = 0;
             }
             Cause::Error => {
-                j.shun.insert(host.to_string());
+                j.shun.insert(host.clone());
                 j.tries += 1;
                 let elsewhere = j.shun.len() > 1;
                 // On a second machine the job itself is to blame: it rests,
@@ -178,7 +186,7 @@
                     0.0
                 };
                 j.rest_until = now + Self::ms(wait);
-                if let Some(m) = self.fleet.get_mut(host) {
+                if let Some(m) = self.fleet.get_mut(&**host) {
                     if !elsewhere && m.leaving.is_none() {
                         warn!("{host} failed {id}/{task}: it is drained and given back");
                         m.leaving = Some("a task failed on it");
@@ -198,48 +206,104 @@
             }
             Cause::Stopped { .. } | Cause::MatesGone => {}
         }
-        self.unplace(id, task);
-    }
-
-    /// Whether a report tells of room that waiting tasks could have: an answer
-    /// that waits a moment can carry their starts, instead of the next one a
-    /// report interval later.
-    pub fn may_fill(&self, r: &Report) -> bool {
-        let ended = r.pieces.iter().any(|p| {
-            matches!(
-                wire::phase(&p.status, p.cause.as_deref(), p.kept),
-                Phase::Ended(_)
-            )
-        });
-        (ended || r.pieces.is_empty()) && self.jobs.values().any(|j| !j.want(1).is_empty())
+        self.unplace(id, task, now);
     }
 
     /// Starts for a machine are on record, and none is on its way there.
     pub fn may_start(&self, host: &str) -> bool {
-        let mut some = false;
-        for j in self.jobs.values().filter(|j| !j.cancelled) {
-            for p in j.placed.iter().filter(|p| p.host == host && p.ver > 0) {
-                if p.ver > j.committed {
-                    return false;
-                }
-                some |= p.sent.is_none() && p.phase.is_none() && p.stop.is_none();
+        self.startable.contains(host)
+    }
+
+    fn placeable_now(m: &Machine) -> bool {
+        m.leaving.is_none() && m.reclaim_at.is_none()
+    }
+
+    /// The starts that are due on a machine, marked as sent.
+    fn starts(&mut self, host: &str, how: Sent, now: u64) -> Vec<Start> {
+        let mut out = Vec::new();
+        self.startable.remove(host);
+        let Some(m) = self.fleet.get(host) else {
+            return out;
+        };
+        if !Self::placeable_now(m) {
+            return out;
+        }
+        for o in &m.on {
+            let Some(j) = self.jobs.get_mut(&*o.job) else {
+                continue;
+            };
+            if j.cancelled {
+                continue;
+            }
+            let committed = j.committed;
+            let Some(p) = j.placed.iter_mut().find(|p| p.task == o.task) else {
+                continue;
+            };
+            if p.unsent() && p.ver <= committed && p.stop.is_none() {
+                p.sent = Some(how);
+                p.sends += 1;
+                p.since = now;
+                out.push(Start {
+                    job: o.job.clone(),
+                    task: o.task,
+                    attempt: o.attempt,
+                });
+            }
+        }
+        out
+    }
+
+    /// Starts that have no check-in to go with go straight to the workers
+    /// that are known to have our token.
+    pub fn direct_starts(&mut self, may_start: bool, now: u64) {
+        if !may_start {
+            return;
+        }
+        for host in std::mem::take(&mut self.startable) {
+            let Some(m) = self.fleet.get(&*host) else {
+                continue;
+            };
+            let (Some(to), tenure) = (m.addr, m.tenure) else {
+                continue;
+            };
+            if tenure == 0 || now < m.shut_until || !self.placeable(m, now) {
+                // Its next check-in takes them.
+                continue;
+            }
+            let starts = self.starts(&host, Sent::Direct { tenure, at: now }, now);
+            if starts.is_empty() {
+                continue;
             }
+            let orders = starts
+                .iter()
+                .map(|s| wire::start(task_name(&s.job, s.task), s.attempt))
+                .collect();
+            self.effects.push(Effect::Direct {
+                host,
+                to,
+                tenure,
+                orders,
+                starts,
+            });
         }
-        some
     }
 
     /// Orders for a machine whose check-in is being answered.
     pub fn orders(&mut self, r: &Report, may_start: bool, now: u64) -> Vec<Order> {
         let mut out = Vec::new();
-        let Some(m) = self.fleet.get(&r.host) else {
+        let Some(m) = self.fleet.get_mut(&r.host) else {
             return out;
         };
         if (r.tenure, r.serial) != (m.tenure, m.serial) {
             // An old report that arrives late: nobody waits for the answer.
             return out;
         }
+        m.answered = Some(now);
+        let mut expects = Vec::new();
+        if r.epoch < self.epoch {
+            expects.push(Expect::Token(self.epoch));
+        }
         for t in &m.tasks {
-            let name = task_name(&t.job, t.task);
             if let Phase::Ended(cause) = t.phase {
                 // `done` is on record before the worker forgets it.
                 let safe = cause != Cause::Done
@@ -248,40 +312,48 @@
                         .get(&t.job)
                         .is_none_or(|j| j.done_committed.contains(t.task));
                 if safe && out.len() < ORDERS_MAX {
-                    out.push(wire::clear(name, t.attempt));
+                    out.push(wire::clear(task_name(&t.job, t.task), t.attempt));
+                    expects.push(Expect::Cleared(t.job.clone(), t.task, t.attempt));
                 }
             }
         }
-        out.extend(self.direct.remove(&r.host).unwrap_or_default());
-        let placeable = m.leaving.is_none() && m.reclaim_at.is_none();
-        for (id, j) in self.jobs.iter_mut() {
-            for p in j.placed.iter_mut().filter(|p| p.host == r.host) {
-                if out.len() >= ORDERS_MAX {
-                    return out;
-                }
-                let name = task_name(id, p.task);
-                if let Some(s) = &mut p.stop {
-                    let stuck =
-                        now > s.since + Self::ms(s.grace_s + 2.0 * self.cl.workers.gang_peer_s);
-                    let grace = if stuck { 0.0 } else { s.grace_s };
-                    let told = s.sent.is_some_and(|t| now < t + 500);
-                    if !told && (stuck || p.phase != Some(Phase::Saving)) {
-                        s.sent = Some(now);
-                        out.push(wire::stop(name, p.attempt, grace));
-                    }
-                } else if may_start
-                    && placeable
-                    && !j.cancelled
-                    && p.ver > 0
-                    && p.ver <= j.committed
-                    && p.phase.is_none()
-                    && p.sent.is_none()
-                {
-                    p.sent = Some((r.tenure, r.serial));
-                    p.sends += 1;
-                    p.since = now;
-                    out.push(wire::start(name, p.attempt));
-                }
+        let host = m.name.clone();
+        out.extend(self.direct.remove(&*host).unwrap_or_default());
+        let peer = 2.0 * self.cl.workers.gang_peer_s;
+        for o in &m.on {
+            let Some(p) = self
+                .jobs
+                .get_mut(&*o.job)
+                .and_then(|j| j.placed.iter_mut().find(|p| p.task == o.task))
+            else {
+                continue;
+            };
+            let Some(s) = &mut p.stop else { continue };
+            let stuck = now > s.since + Self::ms(s.grace_s + peer);
+            let grace = if stuck { 0.0 } else { s.grace_s };
+            let told = s.sent.is_some_and(|t| now < t + 500);
+            if !told && (stuck || p.phase != Some(Phase::Saving)) && out.len() < ORDERS_MAX {
+                s.sent = Some(now);
+                out.push(wire::stop(task_name(&o.job, o.task), p.attempt, grace));
+            }
+        }
+        if may_start {
+            let how = Sent::Answer {
+                tenure: r.tenure,
+                serial: r.serial,
+            };
+            for s in self.starts(&host, how, now) {
+                out.push(wire::start(task_name(&s.job, s.task), s.attempt));
+                expects.push(Expect::There(s.job, s.task, s.attempt));
+            }
+        }
+        if !expects.is_empty() {
+            if let Some(m) = self.fleet.get_mut(&*host) {
+                m.told = Some(Told {
+                    tenure: r.tenure,
+                    serial: r.serial,
+                    expects,
+                });
             }
         }
         out
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -16,30 +16,39 @@
     /// Machines that can't be reached, and all that should be.
     pub fn reach(&self, now: u64) -> (usize, usize) {
         let quiet = Self::ms(self.cl.workers.report_s * 2.5);
-        let up: Vec<&Machine> = self.fleet.values().filter(|m| Self::up(m)).collect();
-        let silent = up.iter().filter(|m| self.silent_ms(m, now) > quiet).count();
-        (silent, up.len())
+        let mut silent = 0;
+        let mut up = 0;
+        for m in self.fleet.values().filter(|m| Self::up(m)) {
+            up += 1;
+            if self.silent_ms(m, now) > quiet || m.unheeded > 0 {
+                silent += 1;
+            }
+        }
+        (silent, up)
     }
 
-    pub fn tick(&mut self, now: u64, rev: u64) {
-        self.notices(now);
-        self.gangs(now);
-        self.reap(now);
-        self.probe(now);
+    /// `spare`: changes of records that may wait and yet go out now.
+    pub fn tick(&mut self, now: u64, rev: u64, spare: usize) {
+        if now >= self.upkeep_next {
+            self.upkeep_next = now + Self::ms(self.cl.workers.gang_peer_s * UPKEEP_SHARE);
+            self.notices(now);
+            self.gangs(now);
+            self.reap(now);
+            self.probe(now);
+        }
         self.book(now);
-        self.flush(now, rev);
-        self.flush_direct();
+        self.push(now, rev, spare);
     }
 
     /// Sends out what is urgent between ticks.
-    pub fn push(&mut self, now: u64, rev: u64) {
-        self.flush(now, rev);
+    pub fn push(&mut self, now: u64, rev: u64, spare: usize) {
+        self.flush(now, rev, spare);
         self.flush_direct();
     }
 
     pub(super) fn flush_direct(&mut self) {
         for (host, mut orders) in std::mem::take(&mut self.direct) {
-            let Some(m) = self.fleet.get(&host) else {
+            let Some(m) = self.fleet.get(&*host) else {
                 continue;
             };
             let Some(to) = m.addr else { continue };
@@ -52,6 +61,7 @@
                 to,
                 tenure: m.tenure,
                 orders,
+                starts: vec![],
             });
         }
     }
@@ -62,23 +72,27 @@
         let mut stops = Vec::new();
         for m in self.fleet.values() {
             let Some(at) = m.reclaim_at else { continue };
-            for (id, j) in &self.jobs {
-                for p in j.placed.iter().filter(|p| p.host == m.name) {
-                    let lead = Self::ms(j.spec.save_s) + slack + 500;
-                    let fetching = p.phase != Some(Phase::Running);
-                    if p.stop.is_none() && (fetching || now + lead >= at) {
-                        stops.push((id.clone(), p.task));
-                    }
+            for o in &m.on {
+                let Some(j) = self.jobs.get(&*o.job) else {
+                    continue;
+                };
+                let Some(p) = j.placed.iter().find(|p| p.task == o.task) else {
+                    continue;
+                };
+                let lead = Self::ms(j.spec.save_s) + slack + 500;
+                let fetching = p.phase != Some(Phase::Running);
+                if p.stop.is_none() && (fetching || now + lead >= at) {
+                    stops.push((o.job.clone(), o.task));
                 }
             }
         }
         for (id, t) in stops {
             let unsent = self
                 .jobs
-                .get(&id)
+                .get(&*id)
                 .is_some_and(|j| j.placed.iter().any(|p| p.task == t && p.unsent()));
             if unsent {
-                self.unplace(&id, t);
+                self.unplace(&id, t, now);
             } else {
                 self.stop_saving(&id, t, now);
             }
@@ -86,30 +100,44 @@
     }
 
     /// How long a gang may take until all of it has its images.
-    pub(super) fn gang_wait_ms(&self, spec: &Spec, hosts: &[&str]) -> u64 {
-        let slowest = hosts
+    pub(super) fn gang_wait_ms(&self, j: &Job) -> u64 {
+        let slowest = j
+            .placed
             .iter()
-            .filter_map(|h| self.fleet.get(*h))
+            .filter_map(|p| self.fleet.get(&*p.host))
             .filter_map(|m| self.flavor(&m.flavor))
-            .map(|f| spec.image_gb / f.fetch.max(0.01))
+            .map(|f| j.spec.image_gb / f.fetch.max(0.01))
             .fold(0.0, f64::max);
         Self::ms(4.0 * self.cl.workers.report_s + 3.0 * slowest)
     }
 
     /// A gang that does not come together within its wait is stopped and
-    /// queued again; so is one that lost a member before it began.
+    /// queued again; so is one that lost a member before it began. Places
+    /// whose start never went out are given up when their machine falls
+    /// silent or leaves.
     pub(super) fn gangs(&mut self, now: u64) {
-        let mut stops: Vec<(String, u32)> = Vec::new();
-        for (id, j) in &self.jobs {
+        let mut stops: Vec<(Arc<str>, u32)> = Vec::new();
+        let mut lost: Vec<(Arc<str>, u32)> = Vec::new();
+        let quiet = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
+        for j in self.jobs.values() {
+            for p in j.placed.iter().filter(|p| p.unsent()) {
+                let gone = self.fleet.get(&*p.host).is_none_or(|m| {
+                    m.leaving.is_some() || m.reclaim_at.is_some() || self.silent_ms(m, now) > quiet
+                });
+                if gone {
+                    lost.push((j.id.clone(), p.task));
+                }
+            }
             if j.spec.shape != Shape::Gang || j.cancelled || j.placed.is_empty() {
                 continue;
             }
-            let hosts: Vec<&str> = j.placed.iter().map(|p| p.host.as_str()).collect();
             let started = j.placed.iter().any(|p| p.phase == Some(Phase::Running));
             let whole = j.placed.len() as u64 == u64::from(j.spec.tasks);
+            if whole && started {
+                continue;
+            }
             let since = j.placed.iter().map(|p| p.since).max().unwrap_or(now);
-            let late = now > since + self.gang_wait_ms(&j.spec, &hosts);
-            if whole && (started || !late) {
+            if whole && now <= since + self.gang_wait_ms(j) {
                 continue;
             }
             if !whole && started {
@@ -120,32 +148,15 @@
             }
             for p in &j.placed {
                 if p.stop.is_none() {
-                    stops.push((id.clone(), p.task));
+                    stops.push((j.id.clone(), p.task));
                 }
             }
         }
         for (id, t) in stops {
             self.stop_task(&id, t, 0.0, now);
         }
-        // Places whose start never went out are given up when their machine
-        // falls silent or leaves.
-        let quiet = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
-        let mut lost = Vec::new();
-        for (id, j) in &self.jobs {
-            for p in &j.placed {
-                if !p.unsent() {
-                    continue;
-                }
-                let gone = self.fleet.get(&p.host).is_none_or(|m| {
-                    m.leaving.is_some() || m.reclaim_at.is_some() || self.silent_ms(m, now) > quiet
-                });
-                if gone {
-                    lost.push((id.clone(), p.task));
-                }
-            }
-        }
         for (id, t) in lost {
-            self.unplace(&id, t);
+            self.unplace(&id, t, now);
         }
         self.release_holds(now);
     }
@@ -155,29 +166,50 @@
     /// The gang may then choose victims anew.
     pub(super) fn release_holds(&mut self, now: u64) {
         let settle = Self::ms(2.0 * self.cl.workers.report_s);
-        let lost: HashSet<String> = self
-            .holds
-            .iter()
-            .filter(|h| {
-                let there = self
-                    .fleet
-                    .get(&h.host)
-                    .is_some_and(|m| m.leaving.is_none() && m.reclaim_at.is_none());
-                let leaving = self.jobs.values().any(|j| {
-                    j.placed
-                        .iter()
-                        .any(|p| p.host == h.host && p.stop.is_some())
-                });
-                !there || (!leaving && now > h.since + settle)
+        let leaving = |m: &Machine| {
+            m.on.iter().any(|o| {
+                self.jobs
+                    .get(&*o.job)
+                    .and_then(|j| j.placed.iter().find(|p| p.task == o.task))
+                    .is_some_and(|p| p.stop.is_some())
             })
-            .map(|h| h.job.clone())
+        };
+        let lost: Vec<Arc<str>> = self
+            .jobs
+            .values()
+            .filter(|j| {
+                let old = now > j.held_at + settle;
+                j.holds.iter().any(|h| {
+                    self.fleet.get(&**h).is_none_or(|m| {
+                        m.leaving.is_some() || m.reclaim_at.is_some() || (old && !leaving(m))
+                    })
+                })
+            })
+            .map(|j| j.id.clone())
             .collect();
-        if !lost.is_empty() {
-            self.holds.retain(|h| !lost.contains(&h.job));
-            self.dirty = true;
+        for id in lost {
+            self.drop_holds(&id);
         }
     }
 
+    /// A start that went straight to a machine and of which nothing was heard
+    /// for longer than its next check-ins took.
+    fn lost_start(&self, m: &Machine, now: u64) -> bool {
+        let wait = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
+        m.on.iter().any(|o| {
+            let p = self
+                .jobs
+                .get(&*o.job)
+                .and_then(|j| j.placed.iter().find(|p| p.task == o.task));
+            p.is_some_and(|p| {
+                p.phase.is_none()
+                    && matches!(p.sent, Some(Sent::Direct { at, .. }) if now > at + wait)
+            })
+        })
+    }
+
+    /// Gives back what is of no use any more: machines that are gone, silent,
+    /// not reached by what we say, drained or idle.
     pub(super) fn reap(&mut self, now: u64) {
         let quiet = Self::ms(self.cl.workers.report_s * 2.5);
         let lost = Self::ms(self.cl.workers.lease_s * self.op.lost_lease_share);
@@ -185,20 +217,19 @@
         // So many at once: it is rather this controller that is cut off.
         let cut = up >= 3 && silent * 2 > up;
         let again = 4000;
-        let mut delete = Vec::new();
-        let names: Vec<String> = self.fleet.keys().cloned().collect();
+        let mut due: Vec<(Arc<str>, &'static str)> = Vec::new();
+        for m in self.fleet.values_mut() {
+            m.settle_idle(now);
+        }
         let kept = self.kept(now).0;
-        let busy = self.busy_hosts();
-        for n in names {
-            self.set_idle(&n, busy.contains(&n), now);
-            let m = &self.fleet[&n];
+        for m in self.fleet.values() {
             let silent = self.silent_ms(m, now);
             let boot = self.flavor(&m.flavor).map_or(60.0, |f| f.boot_s);
             let why = if m.listed == Listed::Failed {
                 Some("it failed")
             } else if m.listed == Listed::Gone && silent > quiet {
                 Some("it is not listed any more")
-            } else if m.leaving.is_some() && m.idle_since.is_some() {
+            } else if m.leaving.is_some() && !m.busy() {
                 m.leaving
             } else if Self::up(m) {
                 let idle = if m.spot {
@@ -208,11 +239,13 @@
                 };
                 if silent > lost && !cut {
                     Some("it is silent")
+                } else if (m.unheeded >= reports::UNHEEDED_MAX || self.lost_start(m, now)) && !cut {
+                    Some("what it is told does not reach it")
                 } else if m
                     .idle_since
                     .is_some_and(|t| now > t + Self::ms(idle * boot))
                     && m.heard.is_some()
-                    && !kept.contains(&n)
+                    && !kept.contains(&m.name)
                 {
                     Some("it is idle")
                 } else {
@@ -226,8 +259,13 @@
             } else {
                 None
             };
-            let Some(why) = why else { continue };
-            let Some(m) = self.fleet.get_mut(&n) else {
+            if let Some(why) = why {
+                due.push((m.name.clone(), why));
+            }
+        }
+        let mut delete = Vec::new();
+        for (n, why) in due {
+            let Some(m) = self.fleet.get_mut(&*n) else {
                 continue;
             };
             if m.leaving.is_none() {
@@ -239,7 +277,7 @@
                     info!("giving back {n}: {why}");
                 }
                 m.delete_sent = Some(now);
-                delete.push(n);
+                delete.push(n.to_string());
             }
         }
         for part in delete.chunks(100) {
@@ -270,6 +308,7 @@
                     to,
                     tenure: m.tenure,
                     orders: vec![],
+                    starts: vec![],
                 });
             } else {
                 self.effects.push(Effect::Inspect {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,8 +1,10 @@
 //! Machines as their workers and the cloud's list tell of them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::job::split_task;
+use crate::plan::{HeldView, MachineView, Room};
 use crate::wire::{Flavor, Report};
 
 /// How a task stands on its machine.
@@ -36,6 +38,39 @@
     pub phase: Phase,
 }
 
+/// A task that the records put on a machine.
+#[derive(Debug, Clone)]
+pub struct OnRecord {
+    pub job: Arc<str>,
+    pub task: u32,
+    pub attempt: u64,
+    pub room: Room,
+}
+
+impl OnRecord {
+    fn is(&self, t: &OnMachine) -> bool {
+        self.task == t.task && self.attempt == t.attempt && *self.job == *t.job
+    }
+}
+
+/// What a machine's next check-in should show if the last answer reached it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Expect {
+    Token(u64),
+    /// A task that it was told to start.
+    There(Arc<str>, u32, u64),
+    /// An ended task that it was told to forget.
+    Cleared(String, u32, u64),
+}
+
+/// The last answer that should show an effect.
+#[derive(Debug, Clone)]
+pub struct Told {
+    pub tenure: u64,
+    pub serial: u64,
+    pub expects: Vec<Expect>,
+}
+
 /// Where a machine stands with the cloud.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Listed {
@@ -49,10 +84,10 @@
 
 #[derive(Debug, Clone)]
 pub struct Machine {
-    pub name: String,
+    pub name: Arc<str>,
     pub addr: Option<SocketAddr>,
-    pub flavor: String,
-    pub zone: String,
+    pub flavor: Arc<str>,
+    pub zone: Arc<str>,
     pub spot: bool,
     pub tenure: u64,
     pub serial: u64,
@@ -60,6 +95,10 @@
     /// When any report came.
     pub heard: Option<u64>,
     pub tasks: Vec<OnMachine>,
+    /// What the records put here, kept up to date with the jobs' places.
+    pub on: Vec<OnRecord>,
+    /// Room kept for gangs whose victims are still leaving.
+    pub held: Vec<HeldView>,
     /// When the cloud takes it, on the steady clock.
     pub reclaim_at: Option<u64>,
     pub listed: Listed,
@@ -67,26 +106,37 @@
     pub up_since: Option<u64>,
     pub idle_since: Option<u64>,
     /// Images fetched, the latest last, with their size.
-    pub images: Vec<(String, f64)>,
+    pub images: Vec<(Arc<str>, f64)>,
     /// No new tasks; given back once it is empty or silent.
     pub leaving: Option<&'static str>,
     pub delete_sent: Option<u64>,
     pub probed: u64,
+    /// It can't be connected to: until then nothing goes straight to it.
+    pub shut_until: u64,
+    pub told: Option<Told>,
+    /// When a check-in was last answered.
+    pub answered: Option<u64>,
+    /// Check-ins in a row that showed no effect of the answer before.
+    pub unheeded: u32,
+    /// What the planner sees of it, as long as nothing has changed.
+    pub view: Option<Arc<MachineView>>,
 }
 
 impl Machine {
     pub fn new(name: &str, flavor: &str, zone: &str, spot: bool, now: u64) -> Machine {
         Machine {
-            name: name.to_string(),
+            name: name.into(),
             addr: None,
-            flavor: flavor.to_string(),
-            zone: zone.to_string(),
+            flavor: flavor.into(),
+            zone: zone.into(),
             spot,
             tenure: 0,
             serial: 0,
             epoch: 0,
             heard: None,
             tasks: vec![],
+            on: vec![],
+            held: vec![],
             reclaim_at: None,
             listed: Listed::Never,
             known_since: now,
@@ -96,6 +146,11 @@
             leaving: None,
             delete_sent: None,
             probed: 0,
+            shut_until: 0,
+            told: None,
+            answered: None,
+            unheeded: 0,
+            view: None,
         }
     }
 
@@ -112,24 +167,32 @@
             self.up_since = Some(now);
             self.idle_since = Some(now);
         }
-        self.addr = r.endpoint.parse().ok().or(self.addr);
-        self.flavor.clone_from(&r.flavor);
-        self.zone.clone_from(&r.hall);
-        self.spot = r.loaner;
+        if self.addr.is_none() || self.view.is_none() {
+            self.addr = r.endpoint.parse().ok().or(self.addr);
+        }
+        if *self.flavor != *r.flavor || *self.zone != *r.hall || self.spot != r.loaner {
+            self.flavor = r.flavor.as_str().into();
+            self.zone = r.hall.as_str().into();
+            self.spot = r.loaner;
+            self.view = None;
+        }
         self.reclaim_at = r.notice_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
-        self.tasks = r
-            .pieces
-            .iter()
-            .filter_map(|p| {
-                let (job, task) = split_task(&p.piece)?;
-                Some(OnMachine {
-                    job: job.to_string(),
-                    task,
-                    attempt: p.attempt,
-                    phase: crate::wire::phase(&p.status, p.cause.as_deref(), p.kept),
-                })
-            })
-            .collect();
+        let mut tasks = Vec::with_capacity(r.pieces.len());
+        for p in &r.pieces {
+            let Some((job, task)) = split_task(&p.piece) else {
+                continue;
+            };
+            tasks.push(OnMachine {
+                job: job.to_string(),
+                task,
+                attempt: p.attempt,
+                phase: crate::wire::phase(&p.status, p.cause.as_deref(), p.kept),
+            });
+        }
+        if tasks != self.tasks {
+            self.tasks = tasks;
+            self.view = None;
+        }
         true
     }
 
@@ -139,13 +202,60 @@
             .filter(|t| !matches!(t.phase, Phase::Ended(_)))
     }
 
+    /// Tasks that the worker has and no record puts here.
+    pub fn strays(&self) -> impl Iterator<Item = &OnMachine> {
+        self.live().filter(|t| !self.on.iter().any(|o| o.is(t)))
+    }
+
+    /// Whether anything may be on it, or is to come.
+    pub fn busy(&self) -> bool {
+        !self.on.is_empty() || !self.held.is_empty() || self.live().next().is_some()
+    }
+
+    pub fn settle_idle(&mut self, now: u64) {
+        if self.busy() {
+            self.idle_since = None;
+        } else if self.idle_since.is_none() {
+            self.idle_since = Some(now);
+        }
+    }
+
+    /// Whether a check-in shows anything of what the last answer told;
+    /// counts those that don't.
+    pub fn heed(&mut self, r: &Report) {
+        let Some(t) = &self.told else { return };
+        if (r.tenure, r.serial) <= (t.tenure, t.serial) {
+            return;
+        }
+        let has = |job: &str, task: u32, attempt: u64| {
+            self.tasks
+                .iter()
+                .any(|x| x.task == task && x.attempt == attempt && x.job == job)
+        };
+        let shown = t.expects.iter().any(|e| match e {
+            Expect::Token(n) => r.epoch >= *n,
+            Expect::There(job, task, attempt) => has(job, *task, *attempt),
+            Expect::Cleared(job, task, attempt) => !has(job, *task, *attempt),
+        });
+        if shown {
+            self.unheeded = 0;
+        } else {
+            self.unheeded += 1;
+        }
+        self.told = None;
+    }
+
     /// Remembers that an image is there; the oldest fall out of the cache.
     pub fn cached(&mut self, image: &str, gb: f64, flavor: Option<&Flavor>) {
-        self.images.retain(|i| i.0 != image);
-        self.images.push((image.to_string(), gb));
+        if self.images.last().is_some_and(|i| *i.0 == *image) {
+            return;
+        }
+        self.images.retain(|i| *i.0 != *image);
+        self.images.push((image.into(), gb));
         let room = flavor.map_or(f64::INFINITY, |f| f.cache_gb);
         while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<f64>() > room {
             self.images.remove(0);
         }
+        self.view = None;
     }
 }
--- a/src/net.rs
+++ b/src/net.rs
@@ -38,11 +38,13 @@
     pub body: Vec<u8>,
 }
 
-/// What a call came to: an answer, or none (it may have been carried out).
+/// What a call came to: an answer, or none (it may have been carried out), or
+/// no connection (nothing was sent).
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
     Answer { status: u16, body: Vec<u8> },
     Silence,
+    Unsent,
 }
 
 #[derive(Debug)]
@@ -271,10 +273,12 @@
                     list.retain(|x| *x != id);
                 }
                 if let Some(tag) = call {
-                    self.ready.push(Event::Reply {
-                        tag,
-                        outcome: Outcome::Silence,
-                    });
+                    let outcome = if c.open {
+                        Outcome::Silence
+                    } else {
+                        Outcome::Unsent
+                    };
+                    self.ready.push(Event::Reply { tag, outcome });
                 }
             }
         }
@@ -618,7 +622,7 @@
         }
         let fail = Event::Reply {
             tag,
-            outcome: Outcome::Silence,
+            outcome: Outcome::Unsent,
         };
         let Ok(mut sock) = TcpStream::connect(to) else {
             self.ready.push(fail);
--- a/src/node/market.rs
+++ b/src/node/market.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Most machines that a page of the list holds.
+const LIST_MAX: u64 = 500;
+
 impl Node {
     pub(super) fn flavors_tick(&mut self) {
         let now = self.now.steady;
@@ -21,7 +24,10 @@
             return;
         }
         let lag = (self.set.cluster.cloud.list_lag_s * 1000.0) as u64;
-        self.list_next = now + (lag / 2).max(2000);
+        // A long list costs calls and time, and tells little that reports
+        // don't: the longer, the rarer.
+        let pages = self.list_pages.max(1);
+        self.list_next = now + (lag / 2).max(2000) * pages;
         if self.cloud.take(now, 1.0, 0.3) {
             self.list_started = now;
             self.listing = Some(vec![]);
@@ -38,7 +44,7 @@
             Call::List { sent, epoch },
             to,
             "GET",
-            format!("/machines?{from}most=500"),
+            format!("/machines?{from}most={LIST_MAX}"),
             vec![],
             4000,
         );
@@ -66,6 +72,7 @@
             self.listing = Some(all);
             self.list_ask(last.as_deref());
         } else {
+            self.list_pages = 1 + all.len() as u64 / LIST_MAX;
             c.listed(&all, sent, now);
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,7 +17,7 @@
 use tracing::{debug, info, trace, warn};
 
 use crate::cloud;
-use crate::control::{Control, Effect, Seat};
+use crate::control::{Control, Effect, Seat, Start};
 use crate::front::{Admission, Ask, Caller, Pending, Stage};
 use crate::job::{Final, Record, Shape, Spec};
 use crate::lead::{self, Lead, Told};
@@ -62,7 +62,11 @@
     List { sent: u64, epoch: u64 },
     Rent { booking: String, epoch: u64 },
     Delete { hosts: Vec<String>, epoch: u64 },
-    Worker { host: String, epoch: u64 },
+    Worker {
+        host: Arc<str>,
+        epoch: u64,
+        starts: Vec<Start>,
+    },
     Status { member: String },
     Hand { user: u64 },
     Revoke,
@@ -82,12 +86,24 @@
     status: Status,
 }
 
+/// Between two plans at the least, and when nothing has changed.
+const PLAN_GAP_MS: u64 = 50;
+const IDLE_PLAN_MS: u64 = 1000;
 const WATCH_MS: u64 = 1000;
 const STATE_MS: u64 = 1500;
 /// A user gives up after 5 s, or 2 s for a poll.
 const SUBMIT_MS: u64 = 3500;
 const POLL_MS: u64 = 1700;
 
+/// Shares of the changes that the state service takes in a second: the leader's
+/// and each other controller's, whose bursts rarely meet.
+const LEADER_WRITES: f64 = 0.75;
+const FOLLOWER_WRITES: f64 = 0.4;
+/// Shares of a controller's requests to the state service that may go to the
+/// watch and to reads for users.
+const WATCH_READS: f64 = 0.25;
+const USER_READS: f64 = 0.35;
+
 pub struct Node {
     set: Settings,
     op: Operator,
@@ -117,6 +133,7 @@
     list_next: u64,
     listing: Option<Vec<wire::Listed>>,
     list_started: u64,
+    list_pages: u64,
     users: BTreeMap<u64, Pending>,
     next_user: u64,
     admission: Admission,
@@ -135,7 +152,7 @@
     pub fn new(set: Settings, op: Operator, seed: u64) -> Node {
         let c = &set.cluster;
         let n = (set.known.len() + 1) as f64;
-        let life = (c.workers.report_s * op.leader_life_reports * 1000.0) as u64;
+        let life = (c.workers.lease_s * op.leader_life_share * 1000.0) as u64;
         Node {
             rng: StdRng::seed_from_u64(seed),
             now: Now { steady: 0, wall: 0 },
@@ -152,15 +169,16 @@
             barrier: false,
             barrier_next: 0,
             requests: Budget::new(c.state.rps / n),
-            queue: Queue::new(c.state.write_rps * 0.5, c.state.txn_ops),
+            queue: Queue::new(c.state.write_rps * FOLLOWER_WRITES, c.state.txn_ops),
             lead: Lead::new(&set.member, life),
             control: None,
             flavors: Arc::new(vec![]),
             flavors_next: 0,
-            cloud: Budget::new(c.cloud.rps * 0.7),
+            cloud: Budget::new(c.cloud.rps * 0.8),
             list_next: 0,
             listing: None,
             list_started: 0,
+            list_pages: 1,
             users: BTreeMap::new(),
             next_user: 1,
             admission: Admission::new(500, c.limits.fd_limit / 4),
@@ -244,7 +262,8 @@
         self.flavors_tick();
         self.mesh_tick();
         if let Some(c) = &mut self.control {
-            c.tick(now.steady, self.picture.rev);
+            let spare = self.queue.spare(now.steady);
+            c.tick(now.steady, self.picture.rev, spare);
         }
         self.list_tick();
         self.users_tick();
@@ -271,12 +290,16 @@
     fn pump(&mut self) {
         let now = self.now.steady;
         if let Some(c) = &mut self.control {
-            c.push(now, self.picture.rev);
+            c.push(now, self.picture.rev, 0);
+        }
+        self.fill();
+        let may_start = self.may_start();
+        if let Some(c) = &mut self.control {
+            c.direct_starts(may_start, now);
             for e in c.take_effects() {
                 self.effect(e);
             }
         }
-        self.fill();
         self.watch_tick();
         loop {
             let tag = self.next_tag;
@@ -313,6 +336,7 @@
                 to,
                 tenure,
                 orders,
+                starts,
             } => {
                 trace!("{host} is ordered {orders:?}");
                 let body = wire::encode(&wire::Orders {
@@ -321,7 +345,11 @@
                     orders,
                 });
                 self.call(
-                    Call::Worker { host, epoch },
+                    Call::Worker {
+                        host,
+                        epoch,
+                        starts,
+                    },
                     to,
                     "POST",
                     "/orders".into(),
@@ -330,7 +358,11 @@
                 );
             }
             Effect::Inspect { host, to } => self.call(
-                Call::Worker { host, epoch },
+                Call::Worker {
+                    host,
+                    epoch,
+                    starts: vec![],
+                },
                 to,
                 "GET",
                 "/inspect".into(),
@@ -344,7 +376,7 @@
             } => {
                 if !self.cloud.take(self.now.steady, 1.0, 0.0) {
                     if let Some(c) = &mut self.control {
-                        c.rented(&booking, None, false, self.now.steady);
+                        c.not_asked(&booking, self.now.steady);
                     }
                     return;
                 }
@@ -464,17 +496,31 @@
                     c.deleted(&hosts, ok, now);
                 }
             }
-            Call::Worker { host, epoch } => {
+            Call::Worker {
+                host,
+                epoch,
+                starts,
+            } => {
                 let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) else {
                     return;
                 };
+                // A start that was refused, or never left, may go out anew; of
+                // one without an answer nothing is known.
+                if let Outcome::Unsent
+                | Outcome::Answer {
+                    status: 400 | 409, ..
+                } = &outcome
+                {
+                    let shut = outcome == Outcome::Unsent;
+                    c.not_started(&host, &starts, shut, now);
+                }
                 if let Outcome::Answer {
                     status: 200 | 409,
                     body,
                 } = &outcome
                 {
                     if let Some(r) = wire::decode::<wire::Report>(body) {
-                        if r.host != host {
+                        if *r.host != *host {
                             return;
                         }
                         if r.epoch > epoch {
@@ -546,17 +592,21 @@
         }
         // Room for changes on their way goes first; and a second's beat so
         // that backoffs end without an event.
-        if !c.dirty && now.steady < self.plan_at + 1000 {
+        if !c.dirty && now.steady < self.plan_at + IDLE_PLAN_MS {
             return None;
         }
         self.planning = true;
-        self.plan_at = now.steady + 50;
+        self.plan_at = now.steady;
         Some(c.snapshot(now.steady, now.wall))
     }
 
     pub fn planned(&mut self, now: Now, epoch: u64, d: Decision) {
         self.now = now;
         self.planning = false;
+        // Planning takes a third of the process' time at most: on a busy fleet
+        // something changes all the time.
+        let took = now.steady.saturating_sub(self.plan_at);
+        self.plan_at = now.steady + (2 * took).max(PLAN_GAP_MS);
         if let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) {
             c.apply(d, now.steady, now.wall);
         }
--- a/src/node/picture.rs
+++ b/src/node/picture.rs
@@ -70,6 +70,13 @@
         )
     }
 
+    /// Between two reads of a sort that may have this share of the
+    /// controller's requests.
+    fn read_gap_ms(&self, share: f64) -> u64 {
+        let n = (self.set.known.len() + 1) as f64;
+        (1000.0 * n / (self.set.cluster.state.rps * share)) as u64
+    }
+
     pub(super) fn watch_tick(&mut self) {
         let now = self.now.steady;
         if !self.picture.loaded {
@@ -78,7 +85,7 @@
         if !self.watching && now >= self.watch_next && self.requests.take(now, 1.0, 0.2) {
             self.watching = true;
             // Never more than so many a second, however much changes.
-            self.watch_next = now + (6000.0 / self.set.cluster.state.rps) as u64;
+            self.watch_next = now + self.read_gap_ms(WATCH_READS);
             let from = self.picture.rev;
             let path = self.watch_path(WATCH_MS);
             self.state(
@@ -94,7 +101,7 @@
                 return;
             }
             self.barrier = true;
-            self.barrier_next = now + (6000.0 / self.set.cluster.state.rps) as u64;
+            self.barrier_next = now + self.read_gap_ms(USER_READS);
             let from = self.picture.rev;
             let path = self.watch_path(0);
             self.state(Call::Barrier { from, sent: now }, "GET", path, vec![], 1000);
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -105,9 +105,9 @@
             } else if fresh.is_none_or(|f| now > f + bound) {
                 return self.answer(conn, 503, Some(1), vec![]);
             } else {
-                c.report(&r, true, now);
+                let room = c.report(&r, true, now);
                 self.reached.insert(r.host.clone(), now);
-                if sure && c.may_fill(&r) {
+                if sure && room {
                     let until = now + (w.report_s * 100.0) as u64;
                     self.filling.push(Filling {
                         conn,
@@ -130,11 +130,17 @@
         self.answer(conn, 421, None, body);
     }
 
+    /// Leadership is certain and the picture fresh enough to start tasks.
+    pub(super) fn may_start(&self) -> bool {
+        let now = self.now.steady;
+        let fresh = self.fresh_at.is_some_and(|f| now < f + WATCH_MS + STATE_MS);
+        fresh && self.lead.sure(now)
+    }
+
     /// Answers a check-in that was taken in, with what there is to do.
     pub(super) fn answer_checkin(&mut self, conn: usize, r: &wire::Report) {
         let now = self.now.steady;
-        let fresh = self.fresh_at.is_some_and(|f| now < f + WATCH_MS + STATE_MS);
-        let may_start = fresh && self.lead.sure(now);
+        let may_start = self.may_start();
         let Some(c) = &mut self.control else {
             // It led a moment ago: the next report finds out who does.
             return self.answer(conn, 503, Some(1), vec![]);
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -1,7 +1,8 @@
 //! The gang cycle: a pure function from a snapshot to placements, victims and
 //! held room. Nothing here knows of sockets, clocks or records.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::job::{Shape, Spec, Urgency};
@@ -64,43 +65,49 @@
 /// A task that may be on a machine.
 #[derive(Debug, Clone)]
 pub struct TaskView {
-    pub job: String,
+    pub job: Arc<str>,
     pub task: u32,
     pub room: Room,
     pub urgency: Urgency,
-    pub team: String,
+    pub team: Arc<str>,
     /// Not already being stopped, and known to the worker.
     pub stoppable: bool,
     /// What stopping it throws away, in seconds of work and saving.
     pub cost_s: f64,
+    /// For a task that can't save: since when it has run, on the planner's
+    /// clock. All of that is thrown away, too.
+    pub since_s: Option<f64>,
 }
 
 #[derive(Debug, Clone)]
 pub struct MachineView {
-    pub name: String,
-    pub flavor: String,
-    pub zone: String,
+    pub name: Arc<str>,
+    pub flavor: Arc<str>,
+    pub zone: Arc<str>,
     pub spot: bool,
     pub total: Room,
     pub free: Room,
-    pub images: Vec<String>,
+    pub images: Vec<Arc<str>>,
     pub fetch: f64,
     pub tasks: Vec<TaskView>,
-    /// Room kept for a gang whose victims are still leaving.
+    /// Room kept for gangs whose victims are still leaving.
     pub held: Vec<HeldView>,
 }
 
 /// Room that a gang holds on a machine.
 #[derive(Debug, Clone)]
 pub struct HeldView {
-    pub job: String,
+    pub job: Arc<str>,
     pub room: Room,
     pub urgency: Urgency,
 }
 
+/// How many tasks are in which zone.
+pub type Zones = BTreeMap<Arc<str>, u32>;
+
 #[derive(Debug, Clone)]
 pub struct JobView {
-    pub id: String,
+    pub id: Arc<str>,
     pub spec: Arc<Spec>,
     /// Tasks without a place.
     pub want: Vec<u32>,
@@ -110,9 +117,9 @@
     /// all are missed.
     pub start_by: Option<f64>,
     /// Where its tasks are, those of an old attempt included.
-    pub zones: BTreeMap<String, u32>,
+    pub zones: Zones,
     /// Machines on which it failed.
-    pub shun: HashSet<String>,
+    pub shun: HashSet<Arc<str>>,
     /// Backing off: takes no part, but its held room stays.
     pub resting: bool,
 }
@@ -166,9 +173,11 @@
     }
 }
 
+/// A picture to plan on. Machines are shared with whoever took it: nothing
+/// that did not change since the last one is copied.
 #[derive(Debug, Clone, Default)]
 pub struct Snapshot {
-    pub machines: Vec<MachineView>,
+    pub machines: Vec<Arc<MachineView>>,
     pub jobs: Vec<JobView>,
     pub teams: HashMap<String, TeamView>,
     pub now_s: f64,
@@ -178,22 +187,22 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Place {
-    pub job: String,
-    pub tasks: Vec<(u32, String)>,
+    pub job: Arc<str>,
+    pub tasks: Vec<(u32, Arc<str>)>,
 }
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Stop {
-    pub job: String,
+    pub job: Arc<str>,
     pub task: u32,
-    pub host: String,
-    pub by: String,
+    pub host: Arc<str>,
+    pub by: Arc<str>,
 }
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Hold {
-    pub job: String,
-    pub host: String,
+    pub job: Arc<str>,
+    pub host: Arc<str>,
     pub room: Room,
 }
 
@@ -204,7 +213,7 @@
     pub stops: Vec<Stop>,
     pub holds: Vec<Hold>,
     /// Gangs without room: they back off.
-    pub failed: Vec<String>,
+    pub failed: Vec<Arc<str>>,
     /// Tasks for which machines would have to be had, in queue order.
     pub unmet: Vec<Unmet>,
 }
@@ -212,9 +221,9 @@
 /// Tasks of a job that found no room, and where the others are or would be.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Unmet {
-    pub job: String,
+    pub job: Arc<str>,
     pub count: u32,
-    pub zones: BTreeMap<String, u32>,
+    pub zones: Zones,
 }
 
 /// Whether a machine is one that the job allows, other tasks aside.
@@ -236,13 +245,14 @@
     }
 }
 
+fn within(teams: &HashMap<String, TeamView>, team: &str) -> bool {
+    teams.get(team).is_some_and(TeamView::within)
+}
+
 /// The order of the queue: teams within their guarantee, then urgency, then
 /// the least slack and work, then age.
 fn order(s: &Snapshot) -> Vec<usize> {
-    let mut idx: Vec<usize> = (0..s.jobs.len()).collect();
-    let key = |i: usize| {
-        let j = &s.jobs[i];
-        let within = s.teams.get(&j.spec.team).is_some_and(TeamView::within);
+    let key = |j: &JobView| {
         // What has missed all aims has nothing to lose by waiting. Of the rest,
         // jobs with little left to do go first: more of them are in time.
         let lost = j.start_by.is_none();
@@ -252,52 +262,52 @@
         };
         let slack = j.start_by.unwrap_or(j.at_s) - s.now_s + work * j.spec.expected_s;
         (
-            !within,
+            !within(&s.teams, &j.spec.team),
             std::cmp::Reverse(j.spec.urgency),
             lost,
             slack,
             j.at_s,
         )
     };
-    idx.sort_by(|a, b| {
-        let (x, y) = (key(*a), key(*b));
+    let mut idx: Vec<_> = s.jobs.iter().map(key).enumerate().collect();
+    idx.sort_by(|(a, x), (b, y)| {
         (x.0, x.1, x.2)
             .cmp(&(y.0, y.1, y.2))
             .then(x.3.total_cmp(&y.3))
             .then(x.4.total_cmp(&y.4))
             .then(s.jobs[*a].id.cmp(&s.jobs[*b].id))
     });
-    idx
+    idx.into_iter().map(|x| x.0).collect()
 }
 
-/// Room for a job: what others hold is not for it, unless it is more urgent.
-fn free_for(m: &MachineView, job: &JobView) -> Room {
-    let mut free = m.free;
-    for h in &m.held {
-        if h.job != job.id && h.urgency >= job.spec.urgency {
-            free.sub(h.room);
-        }
-    }
-    free
+/// A machine that could take a task, at a price in seconds; the lowest first
+/// out of a heap.
+struct Bid {
+    cost: f64,
+    machine: usize,
+    /// The room that the price was made for.
+    free: Room,
+    /// Tasks that would have to go.
+    victims: Vec<usize>,
 }
 
-/// Lower is better: seconds of fetching, of dearness, and a tight fit.
-fn score(s: &Snapshot, m: &MachineView, job: &JobView, free: Room) -> f64 {
-    let spec = &job.spec;
-    let fetch = if m.images.contains(&spec.image) {
-        0.0
-    } else {
-        spec.image_gb / m.fetch.max(0.01)
-    };
-    let dear = if spec.spot && !m.spot {
-        s.spot_worth_s
-    } else {
-        0.0
-    };
-    let mut left = free;
-    left.sub(Room::of(spec));
-    // A nearly empty machine may soon be given back: fill the others first.
-    fetch + dear + s.spot_worth_s * left.left_share(m.total)
+impl PartialEq for Bid {
+    fn eq(&self, o: &Bid) -> bool {
+        self.cmp(o) == Ordering::Equal
+    }
+}
+impl Eq for Bid {}
+impl PartialOrd for Bid {
+    fn partial_cmp(&self, o: &Bid) -> Option<Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Bid {
+    fn cmp(&self, o: &Bid) -> Ordering {
+        o.cost
+            .total_cmp(&self.cost)
+            .then(o.machine.cmp(&self.machine))
+    }
 }
 
 struct Picked {
@@ -305,206 +315,380 @@
     victims: Vec<(usize, usize)>,
 }
 
-/// Tries to place `want` on the machines of `zones`, with victims if allowed.
-fn fit(
-    s: &Snapshot,
-    job: &JobView,
-    want: &[u32],
-    zone: Option<&str>,
-    victims: bool,
-    least: usize,
-) -> Option<Picked> {
-    let need = Room::of(&job.spec);
-    let within = s.teams.get(&job.spec.team).is_some_and(TeamView::within);
-    let mut free: Vec<Option<Room>> = s
-        .machines
-        .iter()
-        .map(|m| {
-            (allowed(&job.spec, &m.flavor, &m.zone, m.spot)
-                && zone.is_none_or(|z| z == m.zone)
-                && !job.shun.contains(&m.name))
-            .then(|| free_for(m, job))
-        })
-        .collect();
-    let cap = zone_cap(&job.spec);
-    let mut zones = job.zones.clone();
-    let mut out = Picked {
-        tasks: vec![],
-        victims: vec![],
-    };
-    let mut taken: HashSet<(usize, usize)> = HashSet::new();
-    for (done, task) in want.iter().enumerate() {
-        // The cycle ends once the minimum count is out of reach.
-        if out.tasks.len() + (want.len() - done) < least {
-            return None;
+/// The snapshot with what the cycle has decided so far.
+struct Board {
+    machines: Vec<Arc<MachineView>>,
+    teams: HashMap<String, TeamView>,
+    now_s: f64,
+    spot_worth_s: f64,
+    free: Vec<Room>,
+    held: Vec<Vec<HeldView>>,
+    holders: HashSet<Arc<str>>,
+    /// Victims chosen in this cycle: no job sees them again.
+    gone: HashSet<(usize, usize)>,
+    /// Machines of one kind are alike to a job's demands.
+    kinds: Vec<usize>,
+    kind_of: Vec<usize>,
+}
+
+impl Board {
+    fn new(s: Snapshot) -> Board {
+        let mut kinds: Vec<usize> = Vec::new();
+        let mut kind_of = Vec::with_capacity(s.machines.len());
+        for (i, m) in s.machines.iter().enumerate() {
+            let known = kinds.iter().position(|k| {
+                let x = &s.machines[*k];
+                x.flavor == m.flavor && x.zone == m.zone && x.spot == m.spot
+            });
+            kind_of.push(known.unwrap_or_else(|| {
+                kinds.push(i);
+                kinds.len() - 1
+            }));
         }
-        let zone_ok =
-            |zones: &BTreeMap<String, u32>, z: &str| zones.get(z).copied().unwrap_or(0) < cap;
-        let best = (0..s.machines.len())
-            .filter_map(|i| {
-                let f = free[i]?;
-                let m = &s.machines[i];
-                (f.fits(need) && zone_ok(&zones, &m.zone)).then(|| (score(s, m, job, f), i))
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0));
-        if let Some((_, i)) = best {
-            if let Some(f) = free[i].as_mut() {
-                f.sub(need);
+        Board {
+            free: s.machines.iter().map(|m| m.free).collect(),
+            held: s.machines.iter().map(|m| m.held.clone()).collect(),
+            holders: s
+                .machines
+                .iter()
+                .flat_map(|m| &m.held)
+                .map(|h| h.job.clone())
+                .collect(),
+            gone: HashSet::new(),
+            machines: s.machines,
+            teams: s.teams,
+            now_s: s.now_s,
+            spot_worth_s: s.spot_worth_s,
+            kinds,
+            kind_of,
+        }
+    }
+
+    /// Room for a job: what others hold is not for it, unless it is more
+    /// urgent.
+    fn free_for(&self, i: usize, job: &JobView) -> Room {
+        let mut free = self.free[i];
+        for h in &self.held[i] {
+            if h.job != job.id && h.urgency >= job.spec.urgency {
+                free.sub(h.room);
             }
-            *zones.entry(s.machines[i].zone.clone()).or_insert(0) += 1;
-            out.tasks.push((*task, i));
-            continue;
         }
-        if !victims {
-            continue;
+        free
+    }
+
+    /// Lower is better: seconds of fetching, of dearness, and a tight fit.
+    fn score(&self, i: usize, job: &JobView, free: Room) -> f64 {
+        let m = &self.machines[i];
+        let spec = &job.spec;
+        let fetch = if m.images.iter().any(|x| **x == *spec.image) {
+            0.0
+        } else {
+            spec.image_gb / m.fetch.max(0.01)
+        };
+        let dear = if spec.spot && !m.spot {
+            self.spot_worth_s
+        } else {
+            0.0
+        };
+        let mut left = free;
+        left.sub(Room::of(spec));
+        // A nearly empty machine may soon be given back: fill the others first.
+        fetch + dear + self.spot_worth_s * left.left_share(m.total)
+    }
+
+    fn may_stop(&self, i: usize, k: usize, job: &JobView, within: bool) -> bool {
+        let t = &self.machines[i].tasks[k];
+        t.stoppable
+            && t.job != job.id
+            && !self.gone.contains(&(i, k))
+            && (t.urgency < job.spec.urgency
+                || (within
+                    && *t.team != *job.spec.team
+                    && self.teams.get(&*t.team).is_some_and(TeamView::borrows)))
+    }
+
+    /// The room there would be with all that may be stopped.
+    fn most_room(&self, i: usize, job: &JobView, free: Room, within: bool) -> Room {
+        let mut room = free;
+        for k in 0..self.machines[i].tasks.len() {
+            if self.may_stop(i, k, job, within) {
+                room.add(self.machines[i].tasks[k].room);
+            }
         }
-        let mut choice: Option<(f64, usize, Vec<usize>)> = None;
-        for (i, m) in s.machines.iter().enumerate() {
-            let Some(f) = free[i] else { continue };
-            if !zone_ok(&zones, &m.zone) {
+        room
+    }
+
+    /// The victims that make room for one task on a machine, and their price.
+    fn victims(
+        &self,
+        i: usize,
+        job: &JobView,
+        free: Room,
+        within: bool,
+        taken: &HashSet<(usize, usize)>,
+    ) -> Option<Bid> {
+        let need = Room::of(&job.spec);
+        let m = &self.machines[i];
+        let loses = |k: usize| {
+            let t = &m.tasks[k];
+            t.cost_s + t.since_s.map_or(0.0, |s| (self.now_s - s).max(0.0))
+        };
+        let mut cands: Vec<usize> = (0..m.tasks.len())
+            .filter(|k| !taken.contains(&(i, *k)) && self.may_stop(i, *k, job, within))
+            .collect();
+        cands.sort_by(|a, b| {
+            let (x, y) = (&m.tasks[*a], &m.tasks[*b]);
+            x.urgency
+                .cmp(&y.urgency)
+                .then(loses(*a).total_cmp(&loses(*b)))
+        });
+        let mut room = free;
+        let mut chosen = Vec::new();
+        for k in cands {
+            if room.fits(need) {
+                break;
+            }
+            room.add(m.tasks[k].room);
+            chosen.push(k);
+        }
+        if !room.fits(need) {
+            return None;
+        }
+        // What stopping throws away counts by the share of the machine.
+        let cost: f64 = chosen
+            .iter()
+            .map(|k| (loses(*k) + 1.0) * m.tasks[*k].room.left_share(m.total))
+            .sum::<f64>()
+            + self.score(i, job, room);
+        Some(Bid {
+            cost,
+            machine: i,
+            free,
+            victims: chosen,
+        })
+    }
+
+    /// Tries to place `want` on the machines of `zone`, with victims if
+    /// allowed.
+    fn fit(
+        &self,
+        job: &JobView,
+        want: &[u32],
+        zone: Option<&str>,
+        victims: bool,
+        least: usize,
+    ) -> Option<Picked> {
+        let need = Room::of(&job.spec);
+        let within = within(&self.teams, &job.spec.team);
+        let kind_ok: Vec<bool> = self
+            .kinds
+            .iter()
+            .map(|k| {
+                let m = &self.machines[*k];
+                allowed(&job.spec, &m.flavor, &m.zone, m.spot) && zone.is_none_or(|z| *z == *m.zone)
+            })
+            .collect();
+        // A look at all: what fits, and whether the minimum count can be had.
+        let mut free: HashMap<usize, Room> = HashMap::new();
+        let mut bids: BinaryHeap<Bid> = BinaryHeap::new();
+        let mut others: Vec<usize> = Vec::new();
+        let mut most = 0u64;
+        for (i, kind) in self.kind_of.iter().enumerate() {
+            if !kind_ok[*kind] || job.shun.contains(&self.machines[i].name) {
                 continue;
             }
-            let mut cands: Vec<usize> = (0..m.tasks.len())
-                .filter(|k| {
-                    let t = &m.tasks[*k];
-                    let lower = t.urgency < job.spec.urgency;
-                    let owed = within
-                        && t.team != job.spec.team
-                        && s.teams.get(&t.team).is_some_and(TeamView::borrows);
-                    t.stoppable && t.job != job.id && !taken.contains(&(i, *k)) && (lower || owed)
-                })
-                .collect();
-            cands.sort_by(|a, b| {
-                let (x, y) = (&m.tasks[*a], &m.tasks[*b]);
-                x.urgency
-                    .cmp(&y.urgency)
-                    .then(x.cost_s.total_cmp(&y.cost_s))
+            let f = self.free_for(i, job);
+            if f.fits(need) {
+                bids.push(Bid {
+                    cost: self.score(i, job, f),
+                    machine: i,
+                    free: f,
+                    victims: vec![],
+                });
+            }
+            if victims {
+                let room = self.most_room(i, job, f, within);
+                let n = room.times(need);
+                if n > 0 {
+                    most += u64::from(n);
+                    others.push(i);
+                }
+            } else if f.fits(need) {
+                most += u64::from(f.times(need));
+            }
+        }
+        if most < least as u64 || most == 0 {
+            return (least == 0).then_some(Picked {
+                tasks: vec![],
+                victims: vec![],
             });
-            let mut room = f;
-            let mut chosen = Vec::new();
-            for k in cands {
-                if room.fits(need) {
+        }
+        let cap = zone_cap(&job.spec);
+        let mut zones = job.zones.clone();
+        let mut out = Picked {
+            tasks: vec![],
+            victims: vec![],
+        };
+        let mut taken: HashSet<(usize, usize)> = HashSet::new();
+        let mut raids: Option<BinaryHeap<Bid>> = None;
+        for (done, task) in want.iter().enumerate() {
+            // The cycle ends once the minimum count is out of reach.
+            if out.tasks.len() + (want.len() - done) < least {
+                return None;
+            }
+            let mut got: Option<Bid> = None;
+            let zone_ok = |zones: &Zones, i: usize| {
+                cap == u32::MAX || zones.get(&self.machines[i].zone).copied().unwrap_or(0) < cap
+            };
+            while let Some(b) = bids.pop() {
+                let now = free.get(&b.machine).copied().unwrap_or(b.free);
+                if now == b.free && zone_ok(&zones, b.machine) {
+                    got = Some(b);
                     break;
                 }
-                room.add(m.tasks[k].room);
-                chosen.push(k);
             }
-            if !room.fits(need) {
-                continue;
+            if got.is_none() && victims {
+                let heap = raids.get_or_insert_with(|| {
+                    others
+                        .iter()
+                        .filter_map(|i| {
+                            let f = free
+                                .get(i)
+                                .copied()
+                                .unwrap_or_else(|| self.free_for(*i, job));
+                            self.victims(*i, job, f, within, &taken)
+                        })
+                        .collect()
+                });
+                while let Some(b) = heap.pop() {
+                    if !zone_ok(&zones, b.machine) {
+                        continue;
+                    }
+                    let now = free.get(&b.machine).copied().unwrap_or(b.free);
+                    if now == b.free {
+                        got = Some(b);
+                        break;
+                    }
+                    // Its room has changed since: a new price.
+                    heap.extend(self.victims(b.machine, job, now, within, &taken));
+                }
             }
-            // What stopping throws away counts by the share of the machine.
-            let cost: f64 = chosen
-                .iter()
-                .map(|k| (m.tasks[*k].cost_s + 1.0) * m.tasks[*k].room.left_share(m.total))
-                .sum::<f64>()
-                + score(s, m, job, room);
-            if choice.as_ref().is_none_or(|c| cost < c.0) {
-                choice = Some((cost, i, chosen));
+            // Tasks are alike: where one finds nothing, none does.
+            let Some(b) = got else { break };
+            let i = b.machine;
+            let mut f = b.free;
+            for k in &b.victims {
+                f.add(self.machines[i].tasks[*k].room);
+                taken.insert((i, *k));
+                out.victims.push((i, *k));
             }
-        }
-        if let Some((_, i, chosen)) = choice {
-            if let Some(f) = free[i].as_mut() {
-                for k in &chosen {
-                    f.add(s.machines[i].tasks[*k].room);
-                    taken.insert((i, *k));
-                    out.victims.push((i, *k));
-                }
-                f.sub(need);
+            f.sub(need);
+            free.insert(i, f);
+            if f.fits(need) {
+                bids.push(Bid {
+                    cost: self.score(i, job, f),
+                    machine: i,
+                    free: f,
+                    victims: vec![],
+                });
+            } else if let Some(heap) = &mut raids {
+                heap.extend(self.victims(i, job, f, within, &taken));
             }
-            *zones.entry(s.machines[i].zone.clone()).or_insert(0) += 1;
+            *zones.entry(self.machines[i].zone.clone()).or_insert(0) += 1;
             out.tasks.push((*task, i));
         }
+        (out.tasks.len() >= least).then_some(out)
     }
-    (out.tasks.len() >= least).then_some(out)
-}
 
-fn best_fit(
-    s: &Snapshot,
-    job: &JobView,
-    want: &[u32],
-    victims: bool,
-    least: usize,
-) -> Option<Picked> {
-    if !job.spec.one_zone {
-        return fit(s, job, want, None, victims, least);
-    }
-    // Tasks that remain of an old attempt keep the job in their zone.
-    let mut zones: Vec<&str> = match job.zones.iter().find(|z| *z.1 > 0) {
-        Some((z, _)) => vec![z.as_str()],
-        None => s.machines.iter().map(|m| m.zone.as_str()).collect(),
-    };
-    zones.sort_unstable();
-    zones.dedup();
-    let mut best: Option<(usize, usize, f64, Picked)> = None;
-    for z in zones {
-        let Some(p) = fit(s, job, want, Some(z), victims, least) else {
-            continue;
+    fn best_fit(
+        &self,
+        job: &JobView,
+        want: &[u32],
+        victims: bool,
+        least: usize,
+    ) -> Option<Picked> {
+        if !job.spec.one_zone {
+            return self.fit(job, want, None, victims, least);
+        }
+        // Tasks that remain of an old attempt keep the job in their zone.
+        let mut zones: Vec<&str> = match job.zones.iter().find(|z| *z.1 > 0) {
+            Some((z, _)) => vec![z],
+            None => self
+                .kinds
+                .iter()
+                .map(|k| &*self.machines[*k].zone)
+                .collect(),
         };
-        let cost: f64 = p
-            .tasks
-            .iter()
-            .map(|(_, i)| score(s, &s.machines[*i], job, s.machines[*i].total))
-            .sum();
-        let better = best.as_ref().is_none_or(|b| {
-            (usize::MAX - p.tasks.len(), p.victims.len())
-                .cmp(&(usize::MAX - b.0, b.1))
-                .then(cost.total_cmp(&b.2))
-                .is_lt()
-        });
-        if better {
-            best = Some((p.tasks.len(), p.victims.len(), cost, p));
+        zones.sort_unstable();
+        zones.dedup();
+        let mut best: Option<(usize, usize, f64, Picked)> = None;
+        for z in zones {
+            let Some(p) = self.fit(job, want, Some(z), victims, least) else {
+                continue;
+            };
+            let cost: f64 = p
+                .tasks
+                .iter()
+                .map(|(_, i)| self.score(*i, job, self.machines[*i].total))
+                .sum();
+            let better = best.as_ref().is_none_or(|b| {
+                (usize::MAX - p.tasks.len(), p.victims.len())
+                    .cmp(&(usize::MAX - b.0, b.1))
+                    .then(cost.total_cmp(&b.2))
+                    .is_lt()
+            });
+            if better {
+                best = Some((p.tasks.len(), p.victims.len(), cost, p));
+            }
         }
+        best.map(|b| b.3)
     }
-    best.map(|b| b.3)
-}
 
-fn apply(s: &mut Snapshot, job: &JobView, p: &Picked) {
-    let need = Room::of(&job.spec);
-    for (task, i) in &p.tasks {
-        let m = &mut s.machines[*i];
-        m.free.sub(need);
-        m.tasks.push(TaskView {
-            job: job.id.clone(),
-            task: *task,
-            room: need,
-            urgency: job.spec.urgency,
-            team: job.spec.team.clone(),
-            stoppable: false,
-            cost_s: 0.0,
-        });
-    }
-    if let Some(t) = s.teams.get_mut(&job.spec.team) {
-        t.take(need, p.tasks.len() as f64);
-    }
-}
-
-/// What a gang lacks: part of it may have room already.
-fn missing(s: &Snapshot, job: &JobView) -> Unmet {
-    let mut zones = job.zones.clone();
-    let mut count = job.want.len();
-    if let Some(p) = best_fit(s, job, &job.want, false, 0) {
-        count -= p.tasks.len();
+    fn apply(&mut self, job: &JobView, p: &Picked) {
+        let need = Room::of(&job.spec);
         for (_, i) in &p.tasks {
-            *zones.entry(s.machines[*i].zone.clone()).or_insert(0) += 1;
+            self.free[*i].sub(need);
+        }
+        if let Some(t) = self.teams.get_mut(&job.spec.team) {
+            t.take(need, p.tasks.len() as f64);
+        }
+        if self.holders.remove(&job.id) {
+            for h in &mut self.held {
+                h.retain(|h| h.job != job.id);
+            }
         }
     }
-    Unmet {
-        job: job.id.clone(),
-        count: count as u32,
-        zones,
+
+    /// What a gang lacks: part of it may have room already.
+    fn missing(&self, job: &JobView) -> Unmet {
+        let mut zones = job.zones.clone();
+        let mut count = job.want.len();
+        if let Some(p) = self.best_fit(job, &job.want, false, 0) {
+            count -= p.tasks.len();
+            for (_, i) in &p.tasks {
+                *zones.entry(self.machines[*i].zone.clone()).or_insert(0) += 1;
+            }
+        }
+        Unmet {
+            job: job.id.clone(),
+            count: count as u32,
+            zones,
+        }
     }
 }
 
 /// Runs one cycle over the whole queue, each gang in one go.
 pub fn cycle(mut s: Snapshot) -> Decision {
     let mut d = Decision::default();
-    for i in order(&s) {
-        let job = s.jobs[i].clone();
+    let queue = order(&s);
+    let jobs = std::mem::take(&mut s.jobs);
+    let mut b = Board::new(s);
+    for job in queue.into_iter().map(|i| &jobs[i]) {
         if job.want.is_empty() {
             continue;
         }
         let need = Room::of(&job.spec);
-        let room = s.teams.get(&job.spec.team).map_or(0, |t| t.allows(need));
+        let room = b.teams.get(&job.spec.team).map_or(0, |t| t.allows(need));
         let gang = job.spec.shape == Shape::Gang;
         if gang && (room as usize) < job.want.len() {
             if !job.resting {
@@ -512,7 +696,7 @@
             }
             // What its team has left is not for later jobs to nibble at, or a
             // large gang never starts.
-            if let Some(t) = s.teams.get_mut(&job.spec.team) {
+            if let Some(t) = b.teams.get_mut(&job.spec.team) {
                 t.take(need, job.want.len() as f64);
             }
             continue;
@@ -520,8 +704,7 @@
         if job.resting {
             // It takes no part, but what it lacks is bought all the same: else
             // the machines on their way would count for others.
-            let m = missing(&s, &job);
-            d.unmet.push(m);
+            d.unmet.push(b.missing(job));
             continue;
         }
         let mut want = job.want.clone();
@@ -530,26 +713,21 @@
             continue;
         }
         let least = if gang { want.len() } else { 0 };
-        let holds = s
-            .machines
-            .iter()
-            .any(|m| m.held.iter().any(|h| h.job == job.id));
+        let holds = b.holders.contains(&job.id);
         let mut left = want.len();
-        if let Some(p) = best_fit(&s, &job, &want, false, least) {
+        if let Some(p) = b.best_fit(job, &want, false, least) {
             if !p.tasks.is_empty() {
                 // Those placed go to the front, the others stay behind them.
-                want.sort_by_key(|t| !p.tasks.iter().any(|x| x.0 == *t));
-                apply(&mut s, &job, &p);
-                for m in &mut s.machines {
-                    m.held.retain(|h| h.job != job.id);
-                }
+                let placed: HashSet<u32> = p.tasks.iter().map(|x| x.0).collect();
+                want.sort_by_key(|t| !placed.contains(t));
+                b.apply(job, &p);
                 left -= p.tasks.len();
                 d.places.push(Place {
                     job: job.id.clone(),
                     tasks: p
                         .tasks
                         .iter()
-                        .map(|(t, i)| (*t, s.machines[*i].name.clone()))
+                        .map(|(t, i)| (*t, b.machines[*i].name.clone()))
                         .collect(),
                 });
             }
@@ -562,30 +740,29 @@
             continue;
         }
         // Tasks of an array are gangs of one: each may have victims.
-        let within = s.teams.get(&job.spec.team).is_some_and(TeamView::within);
-        let rest: Vec<u32> = want[want.len() - left..].to_vec();
-        if gang || within || job.spec.urgency > Urgency::Low {
-            if let Some(p) = best_fit(&s, &job, &rest, true, least) {
+        let rest = &want[want.len() - left..];
+        if gang || within(&b.teams, &job.spec.team) || job.spec.urgency > Urgency::Low {
+            if let Some(p) = b.best_fit(job, rest, true, least) {
                 left -= p.tasks.len();
                 for (i, k) in &p.victims {
-                    let t = &mut s.machines[*i].tasks[*k];
-                    t.stoppable = false;
+                    b.gone.insert((*i, *k));
+                    let t = &b.machines[*i].tasks[*k];
                     d.stops.push(Stop {
                         job: t.job.clone(),
                         task: t.task,
-                        host: s.machines[*i].name.clone(),
+                        host: b.machines[*i].name.clone(),
                         by: job.id.clone(),
                     });
                 }
                 for (_, i) in &p.tasks {
-                    s.machines[*i].held.push(HeldView {
+                    b.held[*i].push(HeldView {
                         job: job.id.clone(),
                         room: need,
                         urgency: job.spec.urgency,
                     });
                     d.holds.push(Hold {
                         job: job.id.clone(),
-                        host: s.machines[*i].name.clone(),
+                        host: b.machines[*i].name.clone(),
                         room: need,
                     });
                 }
@@ -597,7 +774,7 @@
             continue;
         }
         d.unmet.push(if gang {
-            missing(&s, &job)
+            b.missing(job)
         } else {
             Unmet {
                 job: job.id.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -138,8 +138,8 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Operator {
-    /// Life of the leader's grant, in report intervals.
-    pub leader_life_reports: f64,
+    /// Life of the leader's grant, as a share of a worker's lease.
+    pub leader_life_share: f64,
     /// A machine this many report intervals silent is looked after directly.
     pub silent_reports: f64,
     /// Silent this share of a worker's lease, a machine is given back.
@@ -164,7 +164,7 @@
 impl Default for Operator {
     fn default() -> Self {
         Operator {
-            leader_life_reports: 1.0,
+            leader_life_share: 0.083,
             silent_reports: 2.0,
             lost_lease_share: 0.5,
             idle_boots: 0.15,
@@ -262,7 +262,7 @@
             file: path.display().to_string(),
             source: Box::new(source),
         })?;
-        positive("leader_life_reports", o.leader_life_reports)?;
+        positive("leader_life_share", o.leader_life_share)?;
         positive("silent_reports", o.silent_reports)?;
         positive("lost_lease_share", o.lost_lease_share)?;
         positive("idle_boots", o.idle_boots)?;
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,21 @@
             false
         }
     }
+    /// Gives back what was taken and not used.
+    pub fn refund(&mut self, n: f64) {
+        self.tokens = (self.tokens + n).min(self.rate);
+    }
+    /// Another rate from now on.
+    pub fn set_rate(&mut self, now: u64, rate: f64) {
+        self.fill(now);
+        self.rate = rate;
+        self.tokens = self.tokens.min(rate);
+    }
+    /// How many could be taken that leave `spare` of the rate.
+    pub fn over(&mut self, now: u64, spare: f64) -> usize {
+        self.fill(now);
+        (self.tokens - spare * self.rate).max(0.0) as usize
+    }
     /// The other side says that it is used up.
     pub fn empty(&mut self) {
         self.tokens = self.tokens.min(0.0);
@@ -72,8 +87,9 @@
 /// The queue of changes on their way to the state service.
 #[derive(Debug)]
 pub struct Queue<W> {
-    waiting: BTreeMap<u8, VecDeque<Item<W>>>,
-    flying: HashMap<u64, Vec<Item<W>>>,
+    /// By rank, each with its size, which is measured once.
+    waiting: BTreeMap<u8, VecDeque<(usize, Item<W>)>>,
+    flying: HashMap<u64, Vec<(usize, Item<W>)>>,
     ops_max: usize,
     budget: Budget,
 }
@@ -98,7 +114,23 @@
     }
 
     pub fn push(&mut self, item: Item<W>) {
-        self.waiting.entry(item.rank).or_default().push_back(item);
+        let bytes = item.writes.iter().map(size).sum::<usize>() + 64 * item.conds.len();
+        let list = self.waiting.entry(item.rank).or_default();
+        list.push_back((bytes, item));
+    }
+
+    /// Another share of the changes that the state service takes.
+    pub fn set_rate(&mut self, now: u64, write_rate: f64) {
+        self.budget.set_rate(now, write_rate);
+    }
+
+    /// How many changes that nobody waits for may go out now: none while
+    /// others wait, and some are left for what may come.
+    pub fn spare(&mut self, now: u64) -> usize {
+        if self.waits() > 0 {
+            return 0;
+        }
+        self.budget.over(now, 0.5)
     }
 
     pub fn waits(&self) -> usize {
@@ -115,9 +147,9 @@
         let mut bytes = 0;
         let mut group = Vec::new();
         for (rank, list) in self.waiting.iter_mut() {
-            while let Some(item) = list.front() {
+            while let Some((b, item)) = list.front() {
+                let b = *b;
                 let ops = writes.len() + item.writes.len();
-                let b: usize = item.writes.iter().map(size).sum::<usize>() + 64 * item.conds.len();
                 let clash = item
                     .conds
                     .iter()
@@ -137,21 +169,25 @@
                 {
                     break;
                 }
-                let Some(item) = list.pop_front() else { break };
+                let Some((b, item)) = list.pop_front() else {
+                    break;
+                };
                 for c in &item.conds {
                     conds.insert(c.key.clone(), c.stamp);
                 }
                 writes.extend(item.writes.iter().cloned());
                 bytes += b;
-                group.push(item);
+                group.push((b, item));
             }
         }
         if group.is_empty() {
             return None;
         }
         if !requests.take(now, 1.0, 0.0) {
-            for item in group.into_iter().rev() {
-                self.waiting.entry(item.rank).or_default().push_front(item);
+            self.budget.refund(writes.len() as f64);
+            for (b, item) in group.into_iter().rev() {
+                let list = self.waiting.entry(item.rank).or_default();
+                list.push_front((b, item));
             }
             return None;
         }
@@ -188,15 +224,16 @@
                 self.budget.empty();
                 Commit::Refused
             }
-            Outcome::Answer { .. } => Commit::Refused,
+            Outcome::Answer { .. } | Outcome::Unsent => Commit::Refused,
             Outcome::Silence => Commit::Unknown,
         };
         let alone = group.len() == 1;
-        for item in group {
+        for (b, item) in group {
             if let Commit::Conflict { failed, .. } = &verdict {
                 let mine = item.conds.iter().any(|c| failed.contains(&c.key));
                 if !mine && !alone {
-                    self.waiting.entry(item.rank).or_default().push_front(item);
+                    let list = self.waiting.entry(item.rank).or_default();
+                    list.push_front((b, item));
                     continue;
                 }
             }
@@ -208,7 +245,7 @@
     /// Takes back what still waits and matches.
     pub fn withdraw(&mut self, f: impl Fn(&W) -> bool) {
         for list in self.waiting.values_mut() {
-            list.retain(|i| !f(&i.who));
+            list.retain(|i| !f(&i.1.who));
         }
     }
 }
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -90,6 +90,7 @@
         team: "t".into(),
         stoppable: true,
         cost_s: 1.0,
+        since_s: None,
     }
 }
 
@@ -107,7 +108,7 @@
 
 fn snapshot(machines: Vec<MachineView>, jobs: Vec<JobView>) -> Snapshot {
     Snapshot {
-        machines,
+        machines: machines.into_iter().map(Arc::new).collect(),
         jobs,
         teams: HashMap::from([("t".to_string(), TeamView::default())]),
         now_s: 0.0,
@@ -120,7 +121,7 @@
     let gang = job("g", spec(Shape::Gang, 3, 4.0, Urgency::Normal));
     let d = cycle(snapshot(vec![machine("m1", "a", 8.0)], vec![gang.clone()]));
     assert!(d.places.is_empty() && d.stops.is_empty());
-    assert_eq!(d.failed, ["g"]);
+    assert_eq!(d.failed, ["g".into()]);
     // Two fit already: one is to be bought for.
     assert_eq!(d.unmet[0].count, 1);
     let two = vec![machine("m1", "a", 8.0), machine("m2", "a", 4.0)];
@@ -182,9 +183,9 @@
         one("small", 1, Some(5.0)),
     ];
     let d = cycle(snapshot(vec![machine("m1", "a", 8.0)], jobs.clone()));
-    assert_eq!(d.places[0].job, "small");
+    assert_eq!(&*d.places[0].job, "small");
     let d = cycle(snapshot(vec![machine("m1", "a", 8.0)], jobs[..2].to_vec()));
-    assert_eq!(d.places[0].job, "large");
+    assert_eq!(&*d.places[0].job, "large");
 }
 
 #[test]
@@ -205,7 +206,7 @@
     assert!(d.stops.is_empty() && d.places.is_empty());
     // Other room came free meanwhile: it may take that.
     let d = cycle(snapshot(vec![m1, machine("m3", "a", 8.0)], vec![gang]));
-    assert_eq!(d.places[0].tasks, [(0, "m3".to_string())]);
+    assert_eq!(d.places[0].tasks, [(0, "m3".into())]);
 }
 
 #[test]
@@ -230,12 +231,12 @@
         .is_empty());
     // Tasks that remain of an old attempt bind the rest to their zone.
     let mut bound = job("g", one);
-    bound.zones = BTreeMap::from([("b".to_string(), 1)]);
+    bound.zones = BTreeMap::from([("b".into(), 1)]);
     let d = cycle(snapshot(
         vec![machine("m1", "a", 8.0), machine("m2", "b", 8.0)],
         vec![bound],
     ));
-    assert!(d.places[0].tasks.iter().all(|t| t.1 == "m2"));
+    assert!(d.places[0].tasks.iter().all(|t| &*t.1 == "m2"));
     let mut apart = spec(Shape::Gang, 3, 1.0, Urgency::Normal);
     apart.spread = true;
     assert!(cycle(snapshot(
@@ -245,7 +246,7 @@
     .places
     .is_empty());
     let d = cycle(snapshot(split, vec![job("g", apart)]));
-    let in_a = d.places[0].tasks.iter().filter(|t| t.1 == "m1").count();
+    let in_a = d.places[0].tasks.iter().filter(|t| &*t.1 == "m1").count();
     assert!((1..=2).contains(&in_a));
 }
 
@@ -318,11 +319,7 @@
     // What is on its way serves first.
     let coming = Coming {
         kind: got[0].0.clone(),
-        free: Room {
-            cpus: 8.0,
-            gpus: 0.0,
-            mem: 64.0,
-        },
+        count: 1,
     };
     assert!(shop(&[need(cheap.clone(), 2, 0.0)], vec![coming], &f, &free, 9).is_empty());
     // No spot machines to be had: ordinary ones only where it pays.
