--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -645,11 +645,7 @@
         let mut later: Vec<(u64, Arc<str>)> = Vec::new();
         let mut due: Vec<Arc<str>> = Vec::new();
         for j in self.jobs.values() {
-            if j.ver <= j.committed
-                || j.flying.is_some()
-                || now < j.retry_at
-                || rev < j.wait_rev
-            {
+            if j.ver <= j.committed || j.flying.is_some() || now < j.retry_at || rev < j.wait_rev {
                 continue;
             }
             if j.prompt > j.committed || j.over().is_some() {
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -273,25 +273,24 @@
 
     /// What the planner sees of a machine.
     fn view(&self, m: &Machine, f: &Flavor, ago: impl Fn(u64) -> f64) -> MachineView {
-        let tasks = m
-            .on
-            .iter()
-            .filter_map(|o| {
-                let j = self.jobs.get(&*o.job)?;
-                let p = j.placed.iter().find(|p| p.task == o.task)?;
-                let saves = j.spec.checkpoint_s > 0.0;
-                Some(TaskView {
-                    job: o.job.clone(),
-                    task: o.task,
-                    room: o.room,
-                    urgency: j.spec.urgency,
-                    team: j.spec.team.as_str().into(),
-                    stoppable: p.stop.is_none(),
-                    cost_s: if saves { j.spec.save_s } else { 1.0 },
-                    since_s: p.running_since.filter(|_| !saves).map(&ago),
+        let tasks =
+            m.on.iter()
+                .filter_map(|o| {
+                    let j = self.jobs.get(&*o.job)?;
+                    let p = j.placed.iter().find(|p| p.task == o.task)?;
+                    let saves = j.spec.checkpoint_s > 0.0;
+                    Some(TaskView {
+                        job: o.job.clone(),
+                        task: o.task,
+                        room: o.room,
+                        urgency: j.spec.urgency,
+                        team: j.spec.team.as_str().into(),
+                        stoppable: p.stop.is_none(),
+                        cost_s: if saves { j.spec.save_s } else { 1.0 },
+                        since_s: p.running_since.filter(|_| !saves).map(&ago),
+                    })
                 })
-            })
-            .collect();
+                .collect();
         MachineView {
             name: m.name.clone(),
             flavor: m.flavor.clone(),
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -66,8 +66,8 @@
                             m.view = None;
                         }
                     }
-                    let fetched = p.phase.is_none_or(|x| x == Phase::Fetching)
-                        && phase != Phase::Fetching;
+                    let fetched =
+                        p.phase.is_none_or(|x| x == Phase::Fetching) && phase != Phase::Fetching;
                     p.phase = Some(phase);
                     if fetched {
                         let f = self.flavors.iter().find(|f| f.sku == r.flavor);
@@ -151,14 +151,7 @@
         }
     }
 
-    pub(super) fn ended(
-        &mut self,
-        id: &str,
-        task: u32,
-        host: &Arc<str>,
-        cause: Cause,
-        now: u64,
-    ) {
+    pub(super) fn ended(&mut self, id: &str, task: u32, host: &Arc<str>, cause: Cause, now: u64) {
         let Some(j) = self.jobs.get_mut(id) else {
             return;
         };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -25,7 +25,7 @@
 use crate::net::{Action, Door, Event, Outcome, Request};
 use crate::plan::{Decision, Snapshot};
 use crate::settings::{Operator, Settings};
-use crate::state::{Budget, Commit, Item, Queue};
+use crate::state::{Budget, Commit, Item, Queue, LEADERS, USERS};
 use crate::store::{final_key, job_key, LeaderKey, Picture, Seen, EPOCH, JOBS, LEAD, LEADER, ROOT};
 use crate::wire::{self, Cond, Flavor, Write};
 
@@ -53,22 +53,43 @@
 enum Call {
     LoadLead,
     LoadJobs,
-    Watch { from: u64, sent: u64 },
-    Barrier { from: u64, sent: u64 },
+    Watch {
+        from: u64,
+        sent: u64,
+    },
+    Barrier {
+        from: u64,
+        sent: u64,
+    },
     Txn,
     Lead(lead::Ask),
-    ReadFinal { user: u64 },
+    ReadFinal {
+        user: u64,
+    },
     Flavors,
-    List { sent: u64, epoch: u64 },
-    Rent { booking: String, epoch: u64 },
-    Delete { hosts: Vec<String>, epoch: u64 },
+    List {
+        sent: u64,
+        epoch: u64,
+    },
+    Rent {
+        booking: String,
+        epoch: u64,
+    },
+    Delete {
+        hosts: Vec<String>,
+        epoch: u64,
+    },
     Worker {
         host: Arc<str>,
         epoch: u64,
         starts: Vec<Start>,
     },
-    Status { member: String },
-    Hand { user: u64 },
+    Status {
+        member: String,
+    },
+    Hand {
+        user: u64,
+    },
     Revoke,
 }
 
@@ -169,7 +190,11 @@
             barrier: false,
             barrier_next: 0,
             requests: Budget::new(c.state.rps / n),
-            queue: Queue::new(c.state.write_rps * FOLLOWER_WRITES, c.state.txn_ops),
+            queue: Queue::new(
+                c.state.write_rps * FOLLOWER_WRITES,
+                c.state.write_rps * FOLLOWER_WRITES,
+                c.state.txn_ops,
+            ),
             lead: Lead::new(&set.member, life),
             control: None,
             flavors: Arc::new(vec![]),
@@ -276,6 +301,18 @@
                     self.admission.limit()
                 );
             }
+            let t = self.queue.take_tally();
+            if t.txns > 0 {
+                info!(
+                    "{} changes in {} transactions, {} waiting; {} throttled, {} in conflict, {} without answer",
+                    t.changes,
+                    t.txns,
+                    self.queue.waits(),
+                    t.throttled,
+                    t.conflicts,
+                    t.unknown
+                );
+            }
             if let Some(c) = &self.control {
                 info!("leading: {}", c.summary());
             }
@@ -329,7 +366,7 @@
                 },
                 conds,
                 writes,
-                rank: 0,
+                rank: LEADERS,
             }),
             Effect::Direct {
                 host,
@@ -586,6 +623,11 @@
         if self.planning || now.steady < self.plan_at || !self.lead.sure(now.steady) {
             return None;
         }
+        // While records wait for the state service, a further plan would only
+        // add small ones: better a later one that places more at a time.
+        if self.queue.holds_back(LEADERS) {
+            return None;
+        }
         let c = self.control.as_mut()?;
         if !c.ready() {
             return None;
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -294,7 +294,7 @@
                 },
             ],
             writes: vec![Write::set(job_key(&p.id), record.to_value())],
-            rank: 1,
+            rank: USERS,
         });
     }
 
@@ -431,7 +431,7 @@
                         stamp,
                     }],
                     writes: vec![Write::set(job_key(&id), r.to_value())],
-                    rank: 1,
+                    rank: USERS,
                 });
             }
             Ask::Poll | Ask::Submit(_) => {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -600,13 +600,7 @@
         (out.tasks.len() >= least).then_some(out)
     }
 
-    fn best_fit(
-        &self,
-        job: &JobView,
-        want: &[u32],
-        victims: bool,
-        least: usize,
-    ) -> Option<Picked> {
+    fn best_fit(&self, job: &JobView, want: &[u32], victims: bool, least: usize) -> Option<Picked> {
         if !job.spec.one_zone {
             return self.fit(job, want, None, victims, least);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -92,6 +92,25 @@
     flying: HashMap<u64, Vec<(usize, Item<W>)>>,
     ops_max: usize,
     budget: Budget,
+    /// What of it may go to users' changes.
+    users: Budget,
+    tally: Tally,
+}
+
+/// Users' changes go first, so that no user waits for the leader's many, but
+/// they have a budget of their own, so that they don't starve it either.
+pub const USERS: u8 = 0;
+pub const LEADERS: u8 = 1;
+
+/// What became of the changes since the last look, for the log.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Tally {
+    pub txns: u64,
+    pub changes: u64,
+    /// Transactions that the state service turned away for their number.
+    pub throttled: u64,
+    pub conflicts: u64,
+    pub unknown: u64,
 }
 
 const BYTES_MAX: usize = 56 * 1024;
@@ -104,15 +123,21 @@
 }
 
 impl<W: Clone> Queue<W> {
-    pub fn new(write_rate: f64, ops_max: usize) -> Queue<W> {
+    pub fn new(write_rate: f64, users_rate: f64, ops_max: usize) -> Queue<W> {
         Queue {
             waiting: BTreeMap::new(),
             flying: HashMap::new(),
             ops_max,
             budget: Budget::new(write_rate),
+            users: Budget::new(users_rate),
+            tally: Tally::default(),
         }
     }
 
+    pub fn take_tally(&mut self) -> Tally {
+        std::mem::take(&mut self.tally)
+    }
+
     pub fn push(&mut self, item: Item<W>) {
         let bytes = item.writes.iter().map(size).sum::<usize>() + 64 * item.conds.len();
         let list = self.waiting.entry(item.rank).or_default();
@@ -124,6 +149,11 @@
         self.budget.set_rate(now, write_rate);
     }
 
+    /// Whether changes of this rank wait for the budget.
+    pub fn holds_back(&self, rank: u8) -> bool {
+        self.waiting.get(&rank).is_some_and(|l| !l.is_empty())
+    }
+
     /// How many changes that nobody waits for may go out now: none while
     /// others wait, and some are left for what may come.
     pub fn spare(&mut self, now: u64) -> usize {
@@ -160,13 +190,14 @@
                 {
                     break;
                 }
-                // The leader's changes may use the whole budget, others leave
-                // it some.
-                let spare = if *rank == 0 { 0.0 } else { 0.1 };
-                if !self
-                    .budget
-                    .take(now, item.writes.len().max(1) as f64, spare)
-                {
+                let n = item.writes.len().max(1) as f64;
+                if *rank == USERS && !self.users.take(now, n, 0.0) {
+                    break;
+                }
+                if !self.budget.take(now, n, 0.0) {
+                    if *rank == USERS {
+                        self.users.refund(n);
+                    }
                     break;
                 }
                 let Some((b, item)) = list.pop_front() else {
@@ -191,6 +222,8 @@
             }
             return None;
         }
+        self.tally.txns += 1;
+        self.tally.changes += writes.len() as u64;
         self.flying.insert(tag, group);
         Some(Txn {
             conds: conds
@@ -221,12 +254,18 @@
                 None => Commit::Refused,
             },
             Outcome::Answer { status: 429, .. } => {
+                self.tally.throttled += 1;
                 self.budget.empty();
                 Commit::Refused
             }
             Outcome::Answer { .. } | Outcome::Unsent => Commit::Refused,
             Outcome::Silence => Commit::Unknown,
         };
+        match &verdict {
+            Commit::Conflict { .. } => self.tally.conflicts += 1,
+            Commit::Unknown => self.tally.unknown += 1,
+            _ => {}
+        }
         let alone = group.len() == 1;
         for (b, item) in group {
             if let Commit::Conflict { failed, .. } = &verdict {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -16,7 +16,7 @@
 use gaugesill::net::Outcome;
 use gaugesill::plan::{cycle, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView};
 use gaugesill::settings::{Operator, Settings};
-use gaugesill::state::{Budget, Commit, Item, Queue};
+use gaugesill::state::{Budget, Commit, Item, Queue, LEADERS, USERS};
 use gaugesill::store::{LeaderKey, Live, Picture, Seen, LEADER};
 use gaugesill::wire::{self, Change, Cond, Flavor, Write};
 
@@ -448,7 +448,7 @@
 
 #[test]
 fn a_failed_condition_fails_only_its_own_change() {
-    let mut q: Queue<u32> = Queue::new(100.0, 20);
+    let mut q: Queue<u32> = Queue::new(100.0, 50.0, 20);
     for n in 1..=3u32 {
         q.push(Item {
             who: n,
@@ -482,13 +482,13 @@
 
 #[test]
 fn transactions_keep_to_their_limits() {
-    let mut q: Queue<u32> = Queue::new(4.0, 3);
+    let mut q: Queue<u32> = Queue::new(4.0, 2.0, 3);
     for n in 0..8u32 {
         q.push(Item {
             who: n,
             conds: vec![],
             writes: vec![Write::set(format!("k{n}"), Value::Null)],
-            rank: 0,
+            rank: LEADERS,
         });
     }
     let mut requests = Budget::new(100.0);
@@ -499,6 +499,28 @@
     assert_eq!(sizes, [3, 1], "three to a transaction, four a second");
 }
 
+/// Found on the grown days: the leader's many changes took the whole budget,
+/// and users on its controller waited until they gave up.
+#[test]
+fn users_changes_go_first_within_their_share() {
+    let mut q: Queue<u32> = Queue::new(6.0, 3.0, 20);
+    for n in 0..20u32 {
+        let rank = if n < 10 { LEADERS } else { USERS };
+        q.push(Item {
+            who: n,
+            conds: vec![],
+            writes: vec![Write::set(format!("k{n}"), Value::Null)],
+            rank,
+        });
+    }
+    assert!(q.holds_back(LEADERS));
+    let t = q
+        .next(1, 1, &mut Budget::new(100.0))
+        .expect("a transaction");
+    let keys: Vec<&str> = t.writes.iter().filter_map(|w| w.set.as_deref()).collect();
+    assert_eq!(keys, ["k10", "k11", "k12", "k0", "k1", "k2"]);
+}
+
 /// An own election is known before the watch tells that the old key is gone:
 /// the late news must not depose the new leader.
 #[test]
