Rentals: only as many as calls allow, made anew by each plan, in the order of needs

Cause: every plan left bookings of one to eight machines that queued for the cloud's calls; after a minute 326 stood in line and gangs' machines came late. Ruled out: capacity (250 ordinary pampa-48, 100 rented by then).

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -69,7 +69,8 @@
 #[derive(Clone)]
 struct Basket {
     lots: Vec<Lot>,
-    bought: Vec<u64>,
+    /// In the order of the needs that they are for.
+    bought: Vec<(usize, u64)>,
     total: u64,
     price: f64,
 }
@@ -136,7 +137,7 @@
                 })
             })
             .collect(),
-        bought: vec![0; offers.len()],
+        bought: vec![],
         total: 0,
         price: 0.0,
     };
@@ -168,13 +169,9 @@
             basket = b;
         }
     }
-    let counts = basket.bought.into_iter();
-    market
-        .offers
-        .into_iter()
-        .zip(counts)
-        .filter(|(_, n)| *n > 0)
-        .map(|(o, n)| (o.kind, n))
+    let bought = basket.bought.into_iter();
+    bought
+        .map(|(k, n)| (market.offers[k].kind.clone(), n))
         .collect()
 }
 
@@ -209,7 +206,10 @@
             let count = u64::from(most / each).clamp(1, self.most - b.total);
             b.price += o.price * count as f64;
             b.total += count;
-            b.bought[kind] += count;
+            match b.bought.iter_mut().find(|x| x.0 == kind) {
+                Some(x) => x.1 += count,
+                None => b.bought.push((kind, count)),
+            }
             b.lots.push(Lot {
                 kind,
                 free: o.room,
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -372,7 +372,8 @@
     }
 
     /// Carries out what was planned, as far as it still holds.
-    pub fn apply(&mut self, d: Decision, now: u64, wall: u64) {
+    /// `calls`: how many rentals may be asked for now.
+    pub fn apply(&mut self, d: Decision, calls: usize, now: u64, wall: u64) {
         let mut teams = self.teams();
         for p in d.places {
             self.place(&p, &mut teams, now);
@@ -407,7 +408,7 @@
                 j.miss_until = now + Self::ms(wait);
             }
         }
-        self.buy(&d.unmet, now, wall);
+        self.buy(&d.unmet, calls, now, wall);
     }
 
     pub(super) fn place(
@@ -466,7 +467,12 @@
         }
     }
 
-    pub(super) fn buy(&mut self, unmet: &[plan::Unmet], now: u64, wall: u64) {
+    /// Rents what is missing. What the calls don't suffice for is not kept:
+    /// the next plan knows better what is missing then.
+    pub(super) fn buy(&mut self, unmet: &[plan::Unmet], calls: usize, now: u64, wall: u64) {
+        if calls == 0 {
+            return;
+        }
         let mut needs = Vec::new();
         let dear = self.dear(wall);
         for u in unmet {
@@ -488,6 +494,8 @@
             });
         }
         needs.extend(self.kept(now).1);
+        // What can't go on spot machines is hard to place, and first.
+        needs.sort_by_key(|n| n.spec.spot);
         if needs.is_empty() {
             return;
         }
@@ -531,8 +539,10 @@
         // As many as the calls of a second may bring.
         let most = RENT_MAX * (self.cl.cloud.rps as u64).max(1);
         let list = cloud::shop(&needs, coming, &self.flavors, &blocked, most);
+        let mut left = calls;
         for (kind, mut count) in list {
-            while count > 0 {
+            while count > 0 && left > 0 {
+                left -= 1;
                 let part = count.min(RENT_MAX);
                 count -= part;
                 let name = format!("{}-{}-{}", self.me, self.epoch, self.next_booking);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -107,6 +107,8 @@
     status: Status,
 }
 
+/// Share of a second's calls to the cloud that rentals leave to others.
+const RENT_SPARE: f64 = 0.25;
 /// Between two plans at the least, and when nothing has changed.
 const PLAN_GAP_MS: u64 = 50;
 const IDLE_PLAN_MS: u64 = 1000;
@@ -649,8 +651,10 @@
         // something changes all the time.
         let took = now.steady.saturating_sub(self.plan_at);
         self.plan_at = now.steady + (2 * took).max(PLAN_GAP_MS);
+        // The list and deletions need calls, too.
+        let calls = self.cloud.over(now.steady, RENT_SPARE);
         if let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) {
-            c.apply(d, now.steady, now.wall);
+            c.apply(d, calls, now.steady, now.wall);
         }
         self.pump();
     }
