Spot machines on their way count when deciding on ordinary ones; a new leader asks machines sooner

Cause: while the first tasks began, the queue was measured against the few that ran, not against the machines booting. After a failover unsent gangs waited for a report interval of every machine.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -312,6 +312,10 @@
 /// How often machines and gangs are looked over, as a share of the time in
 /// which the tasks of a gang miss one another.
 const UPKEEP_SHARE: f64 = 0.1;
+/// When a new leader begins to ask machines that have not come, in the same
+/// unit, and in how many parts.
+const PROBE_SHARE: f64 = 0.5;
+const PROBE_PARTS: usize = 12;
 /// How long a change that nobody waits for may stay off the record, in the
 /// same unit, so that others go with it.
 const LAZY_SHARE: f64 = 0.25;
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -125,18 +125,25 @@
     }
 
     /// Jobs for spot machines that are worth an ordinary one: at the rate at
-    /// which the machines that are there work off the queue, they would wait
-    /// very long.
+    /// which the machines that are there or on their way work off the queue,
+    /// they would wait very long.
     pub(super) fn dear(&self, wall: u64) -> HashSet<Arc<str>> {
-        let mut slots = 0.0;
+        let mut tasks = 0.0;
         let mut work = 0.0;
+        let mut need = Room::default();
+        let mut elsewhere = 0.0;
         let mut queue = Vec::new();
         let jobs = self.jobs.values();
         for j in jobs.filter(|j| j.spec.spot && !j.cancelled) {
-            let n = j.placed.len() as f64;
-            slots += n;
+            let open = j.open() as f64;
+            let n = open + j.placed.len() as f64;
+            tasks += n;
             work += n * j.spec.expected_s;
-            let open = f64::from(j.spec.tasks) - j.done.len() as f64 - n;
+            need.add(Room::of(&j.spec).scaled(n));
+            for p in &j.placed {
+                let spot = self.fleet.get(&*p.host).is_some_and(|m| m.spot);
+                elsewhere += f64::from(u8::from(!spot));
+            }
             if open > 0.0 {
                 let left = j
                     .spec
@@ -145,13 +152,28 @@
                 queue.push((left - j.spec.expected_s, open, &j.id));
             }
         }
-        if slots == 0.0 {
-            // Nothing runs yet: what is on its way will work off the queue.
-            let coming = self.fleet.values().filter(|m| m.spot).count() as u64
-                + self.bookings.iter().map(|b| b.count).sum::<u64>();
-            slots = coming as f64;
+        if queue.is_empty() {
+            return HashSet::new();
         }
-        let mean_s = if slots > 0.0 { work / slots } else { 0.0 };
+        // How many tasks of the usual size the spot machines hold, with those
+        // on their way, and what ordinary ones do meanwhile.
+        let need = need.scaled(1.0 / tasks);
+        let holds = |flavor: &str| {
+            self.flavor(flavor)
+                .map_or(0.0, |f| f64::from(cloud::room(f).times(need)))
+        };
+        let machines = self.fleet.values().filter(|m| {
+            m.spot && m.leaving.is_none() && !matches!(m.listed, Listed::Failed | Listed::Gone)
+        });
+        let slots = elsewhere
+            + machines.map(|m| holds(&m.flavor)).sum::<f64>()
+            + self
+                .bookings
+                .iter()
+                .filter(|b| b.kind.spot)
+                .map(|b| holds(&b.kind.flavor) * b.count as f64)
+                .sum::<f64>();
+        let mean_s = work / tasks;
         let longest = self.op.dear_wait_boots * self.boot_s();
         queue.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut ahead = 0.0;
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -288,12 +288,16 @@
     }
 
     /// Machines that should report and don't are asked directly, which also
-    /// raises the token of those that another controller still answers.
+    /// raises the token of those that another controller still answers. A new
+    /// leader asks all that have not come by themselves soon, a part at a
+    /// time, since it can't place anew before it knows.
     pub(super) fn probe(&mut self, now: u64) {
         let quiet = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
+        let soon = Self::ms(self.cl.workers.gang_peer_s * PROBE_SHARE);
+        let mut left = 1 + self.fleet.len() / PROBE_PARTS;
         for m in self.fleet.values_mut() {
             let last = m.heard.unwrap_or(m.known_since).max(self.since);
-            let due = now > last + quiet || (m.epoch < self.epoch && now > self.since + quiet / 2);
+            let due = now > last + quiet || (m.epoch < self.epoch && now > self.since + soon);
             if !due
                 || now < m.probed + quiet / 2
                 || (m.heard.is_none() && m.listed != Listed::Running)
@@ -301,6 +305,10 @@
                 continue;
             }
             let Some(to) = m.addr else { continue };
+            if left == 0 {
+                break;
+            }
+            left -= 1;
             m.probed = now;
             if m.tenure > 0 && m.epoch < self.epoch {
                 self.effects.push(Effect::Direct {
--- a/src/net.rs
+++ b/src/net.rs
@@ -22,7 +22,8 @@
 /// A request must be complete within this time of its first byte.
 const REQUEST_S: u64 = 10;
 const IDLE_S: u64 = 120;
-const CLIENT_IDLE_S: u64 = 20;
+/// Workers are called rarely and are many.
+const CLIENT_IDLE_S: u64 = 5;
 
 /// Where a request came in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -35,6 +35,13 @@
         self.gpus -= o.gpus;
         self.mem -= o.mem;
     }
+    pub fn scaled(self, n: f64) -> Room {
+        Room {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            mem: self.mem * n,
+        }
+    }
     pub fn fits(&self, need: Room) -> bool {
         self.cpus + EPS >= need.cpus && self.gpus + EPS >= need.gpus && self.mem + EPS >= need.mem
     }
