--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -126,8 +126,9 @@
 
     /// Jobs for spot machines that are worth an ordinary one: at the rate at
     /// which the machines that are there or on their way work off the queue,
-    /// they would wait very long.
-    pub(super) fn dear(&self, wall: u64) -> HashSet<Arc<str>> {
+    /// they would wait very long. With each, how many of its tasks: all
+    /// together as many places as shorten the wait to what is bearable.
+    pub(super) fn dear(&self, wall: u64) -> HashMap<Arc<str>, u32> {
         let mut tasks = 0.0;
         let mut work = 0.0;
         let mut need = Room::default();
@@ -153,7 +154,7 @@
             }
         }
         if queue.is_empty() {
-            return HashSet::new();
+            return HashMap::new();
         }
         // How many tasks of the usual size the spot machines hold, with those
         // on their way, and what ordinary ones do meanwhile.
@@ -177,12 +178,16 @@
         let longest = self.op.dear_wait_boots * self.boot_s();
         queue.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut ahead = 0.0;
-        let mut out = HashSet::new();
+        let mut out = HashMap::new();
         let stuck = slots == 0.0 && self.spot_is_out();
+        let all: f64 = queue.iter().map(|q| q.1).sum();
+        let mut lack = (all * mean_s / longest - slots).ceil();
         for (_, open, id) in queue {
             ahead += open;
-            if stuck || (slots > 0.0 && ahead / slots * mean_s > longest) {
-                out.insert(id.clone());
+            if lack > 0.0 && (stuck || (slots > 0.0 && ahead / slots * mean_s > longest)) {
+                let n = open.min(lack);
+                lack -= n;
+                out.insert(id.clone(), n as u32);
             }
         }
         out
@@ -504,23 +509,35 @@
             if j.cancelled {
                 continue;
             }
-            needs.push(Need {
-                spec: j.spec.clone(),
-                count: u.count,
-                zones: u.zones.clone(),
-                dear: if dear.contains(&*u.job) {
-                    self.op.dear_times
-                } else {
-                    0.0
-                },
-            });
+            let dear_count = dear.get(&u.job).map_or(0, |n| u.count.min(*n));
+            let parts = [
+                (dear_count, self.op.dear_times),
+                (u.count - dear_count, 0.0),
+            ];
+            for (count, dear) in parts.into_iter().filter(|p| p.0 > 0) {
+                needs.push(Need {
+                    spec: j.spec.clone(),
+                    count,
+                    zones: u.zones.clone(),
+                    dear,
+                });
+            }
         }
         needs.extend(self.kept(now).1);
-        // What can't go on spot machines is hard to place, and first.
-        needs.sort_by_key(|n| n.spec.spot);
+        // What can't go on spot machines is hard to place, and first. Then what
+        // ordinary ones are rented for, or those on their way for it would
+        // count for others and be rented again by the next plan.
+        needs.sort_by_key(|n| (n.spec.spot, n.dear == 0.0));
         if needs.is_empty() {
             return;
         }
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let mut sums: BTreeMap<(&str, bool), u32> = BTreeMap::new();
+            for n in &needs {
+                *sums.entry((&n.spec.class, n.dear > 0.0)).or_default() += n.count;
+            }
+            debug!("tasks to find machines for, by class and whether dear: {sums:?}");
+        }
         let mut coming: HashMap<Kind, u64> = HashMap::new();
         for m in self.fleet.values() {
             // One that takes far longer than usual may never come up: another
