--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -304,8 +304,8 @@
 
 const ORDERS_MAX: usize = 300;
 const WANT_MAX: usize = 256;
-/// Boot times after which work that can't use spot machines, and has missed all
-/// its aims, is not overtaken any more.
+/// Boot times after which a job of which nothing has begun is not overtaken any
+/// more: many small jobs in time must not starve the largest.
 const OVERTAKEN_BOOTS: f64 = 3.0;
 /// Boot times after which a machine is not waited for any more.
 const LATE_BOOTS: f64 = 1.6;
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -285,17 +285,10 @@
             // No aim is stated: first come, first served among the others.
             return Some(at + self.boot_s());
         }
-        let next = aims
-            .into_iter()
+        aims.into_iter()
             .filter(|a| a.0 + a.1 >= now_s)
             .map(|a| a.0)
-            .min_by(f64::total_cmp);
-        // Overtaken for too long: its turn has come, aims or not.
-        let long = at + OVERTAKEN_BOOTS * self.boot_s();
-        match next {
-            None if !j.spec.spot && now_s > long => Some(at),
-            next => next,
-        }
+            .min_by(f64::total_cmp)
     }
 
     /// What the planner sees of a machine.
@@ -386,6 +379,9 @@
                 zones: self.zones_of(j, &strays),
                 shun: j.shun.clone(),
                 resting: now < j.rest_until.max(j.miss_until),
+                overdue: j.placed.is_empty()
+                    && j.done.is_empty()
+                    && now_s > j.at as f64 / 1000.0 + OVERTAKEN_BOOTS * self.boot_s(),
             });
         }
         self.waiting = !jobs.is_empty();
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -129,6 +129,8 @@
     pub shun: HashSet<Arc<str>>,
     /// Backing off: takes no part, but its held room stays.
     pub resting: bool,
+    /// Has waited so long without a single start that its turn has come.
+    pub overdue: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -257,7 +259,8 @@
 }
 
 /// The order of the queue: teams within their guarantee, then urgency, then
-/// the least slack and work, then age.
+/// what has been overtaken for too long, then the least slack and work, then
+/// age.
 fn order(s: &Snapshot) -> Vec<usize> {
     let key = |j: &JobView| {
         // What has missed all aims has nothing to lose by waiting. Of the rest,
@@ -271,8 +274,8 @@
         (
             !within(&s.teams, &j.spec.team),
             std::cmp::Reverse(j.spec.urgency),
-            lost,
-            slack,
+            lost && !j.overdue,
+            if j.overdue { f64::NEG_INFINITY } else { slack },
             j.at_s,
         )
     };
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -74,6 +74,7 @@
         zones: BTreeMap::new(),
         shun: HashSet::new(),
         resting: false,
+        overdue: false,
     }
 }
 
@@ -375,7 +376,7 @@
 /// ones for minutes. The next aim counts as long as there is one, then nothing,
 /// and after three boot times it is their turn.
 #[test]
-fn a_gang_is_not_overtaken_for_ever() {
+fn nothing_is_overtaken_for_ever() {
     let mut c = control(
         r#"[{"kind":"wait","class":"c","within_s":25.0},
             {"kind":"finished","class":"c","within_s":60.0},
@@ -387,18 +388,21 @@
         stamp: 1,
     };
     c.job_seen("run-1", &live, 1000);
-    let mut start_by = |after_s: u64| {
+    let mut seen = |after_s: u64| {
         let s = c.snapshot(1000 + 1000 * after_s, 1_000_000 + 1000 * after_s);
-        s.jobs[0].start_by
+        (s.jobs[0].start_by, s.jobs[0].overdue)
     };
-    assert_eq!(start_by(5), Some(1025.0));
-    assert_eq!(start_by(30), Some(1050.0), "done in 60 s is in reach");
-    assert_eq!(start_by(70), None);
-    assert_eq!(
-        start_by(130),
-        Some(1000.0),
-        "three boots of 40 s have passed"
-    );
+    assert_eq!(seen(5), (Some(1025.0), false));
+    assert_eq!(seen(30), (Some(1050.0), false), "done in 60 s is in reach");
+    assert_eq!(seen(70), (None, false));
+    assert_eq!(seen(130), (None, true), "three boots of 40 s have passed");
+    // Its turn has come: it goes before what is still in time.
+    let mut old = job("old", spec(Shape::Array, 9, 8.0, Urgency::Low));
+    old.start_by = None;
+    old.overdue = true;
+    let new = job("new", spec(Shape::Array, 1, 8.0, Urgency::Low));
+    let d = cycle(snapshot(vec![machine("m1", "a", 8.0)], vec![new, old]));
+    assert_eq!(&*d.places[0].job, "old");
 }
 
 /// A report that was held back arrives after its machine's deletion: it does
