Gangs wait for slow fetches in place; a successor starts what is on record

In the same way a successor starts what an earlier leader put on record and did not come to. Also: an image being fetched counts as there for the next task, and a machine whose notice has run out is taken to be gone.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -91,6 +91,9 @@
     ver: u64,
     sent: Option<Sent>,
     sends: u32,
+    /// On record and proven not to be there: to be started in its place under
+    /// the attempt that it has.
+    again: bool,
     pub phase: Option<Phase>,
     since: u64,
     running_since: Option<u64>,
@@ -129,6 +132,8 @@
     /// Machines with room held for it, and since when.
     holds: BTreeSet<Arc<str>>,
     held_at: u64,
+    /// When its latest places were given, or found on record.
+    placed_at: u64,
 }
 
 impl Placed {
@@ -141,6 +146,7 @@
             ver,
             sent: None,
             sends: 0,
+            again: false,
             phase: None,
             since: now,
             running_since: None,
@@ -150,7 +156,7 @@
 
     /// Its start has not gone out: the machine can't know of it.
     fn unsent(&self) -> bool {
-        self.ver > 0 && self.sent.is_none() && self.phase.is_none()
+        (self.ver > 0 || self.again) && self.sent.is_none() && self.phase.is_none()
     }
 }
 
@@ -447,6 +453,7 @@
             shun: HashSet::new(),
             holds: BTreeSet::new(),
             held_at: 0,
+            placed_at: now,
         };
         if r.runs.is_empty() && j.over().is_some() {
             j.touch(now);
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -311,6 +311,15 @@
                     })
                 })
                 .collect();
+        // What is being fetched for one task serves the next, too.
+        let mut images: Vec<Arc<str>> = m.images.iter().map(|i| i.0.clone()).collect();
+        for o in &m.on {
+            if let Some(j) = self.jobs.get(&*o.job) {
+                if !images.iter().any(|i| **i == *j.spec.image) {
+                    images.push(j.spec.image.as_str().into());
+                }
+            }
+        }
         MachineView {
             name: m.name.clone(),
             flavor: m.flavor.clone(),
@@ -318,7 +327,7 @@
             spot: m.spot,
             total: cloud::room(f),
             free: self.free(m),
-            images: m.images.iter().map(|i| i.0.clone()).collect(),
+            images,
             fetch: f.fetch,
             tasks,
             held: m.held.clone(),
@@ -480,6 +489,7 @@
             return;
         };
         j.misses = 0;
+        j.placed_at = now;
         let attempt = j.next;
         j.next += 1;
         let ver = j.touch(now);
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -39,21 +39,30 @@
         }
         let host = m.name.clone();
         let fresh = r.epoch >= self.epoch;
+        let placeable = Self::placeable_now(m) && fresh;
         let mine = m.on.clone();
         let mut room = !m.busy() && (woke || m.idle_since == Some(now) || r.pieces.is_empty());
         for o in mine {
+            let found = self.fleet[&r.host]
+                .tasks
+                .iter()
+                .find(|t| t.task == o.task && t.attempt == o.attempt && *t.job == *o.job)
+                .map(|t| t.phase);
+            let alone = found == Some(Phase::Ended(Cause::Alone));
+            let gathers = alone && placeable && self.gathers(&o.job, now);
             let Some(j) = self.jobs.get_mut(&*o.job) else {
                 continue;
             };
             let Some(p) = j.placed.iter_mut().find(|p| p.task == o.task) else {
                 continue;
             };
-            let found = self.fleet[&r.host]
-                .tasks
-                .iter()
-                .find(|t| t.task == o.task && t.attempt == o.attempt && *t.job == *o.job)
-                .map(|t| t.phase);
             match found {
+                Some(_) if gathers => {
+                    // The image of another took longer than it may wait. The
+                    // answer clears it, then starts it anew: the attempt is
+                    // the same, as the protocol has it for replacements.
+                    self.restart(&o.job, o.task);
+                }
                 Some(Phase::Ended(cause)) => {
                     room = true;
                     self.ended(&o.job, o.task, &host, cause, now);
@@ -81,7 +90,7 @@
                         || match (p.ver, p.sent) {
                             // An earlier leader's start can't be taken any
                             // more once the worker has seen this epoch.
-                            (0, _) => fresh,
+                            (0, None) => fresh && !p.again,
                             (_, None) => false,
                             // A start travels in the answer to a check-in, and
                             // the next check-in comes after it was taken or
@@ -96,10 +105,11 @@
                     if !proven {
                         continue;
                     }
-                    let again = p.phase.is_none() && p.ver > 0 && p.sends < 3 && p.stop.is_none();
-                    if again {
-                        p.sent = None;
-                        self.startable.insert(host.clone());
+                    // It is on record, so it may as well be started: also what
+                    // an earlier leader did not come to.
+                    let again = p.phase.is_none() && p.sends < 3 && p.stop.is_none();
+                    if again && placeable && !j.cancelled {
+                        self.restart(&o.job, o.task);
                     } else {
                         debug!("{} is not on {host}", task_name(&o.job, o.task));
                         room = true;
@@ -117,7 +127,6 @@
             .map(|t| wire::stop(task_name(&t.job, t.task), t.attempt, 0.0))
             .collect();
         m.settle_idle(now);
-        let placeable = m.leaving.is_none() && m.reclaim_at.is_none() && fresh;
         if !strays.is_empty() {
             self.direct.entry(host).or_default().extend(strays);
         }
@@ -127,6 +136,21 @@
         room && placeable && self.waiting
     }
 
+    /// A task that is on record and proven not to be on its machine may be
+    /// started there under its attempt.
+    fn restart(&mut self, id: &str, task: u32) {
+        let Some(p) = self
+            .jobs
+            .get_mut(id)
+            .and_then(|j| j.placed.iter_mut().find(|p| p.task == task))
+        else {
+            return;
+        };
+        p.again = true;
+        p.sent = None;
+        p.phase = None;
+    }
+
     /// A worker has said that it did not carry out a start that went straight
     /// to it, or the start never left: it may go out anew.
     pub fn not_started(&mut self, host: &str, starts: &[Start], shut: bool, now: u64) {
@@ -232,7 +256,8 @@
             let Some(p) = j.placed.iter_mut().find(|p| p.task == o.task) else {
                 continue;
             };
-            if p.unsent() && p.ver <= committed && p.stop.is_none() {
+            let direct = matches!(how, Sent::Direct { .. });
+            if p.unsent() && p.ver <= committed && p.stop.is_none() && !(direct && p.again) {
                 p.sent = Some(how);
                 p.sends += 1;
                 p.since = now;
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -111,6 +111,20 @@
         Self::ms(4.0 * self.cl.workers.report_s + 3.0 * slowest)
     }
 
+    /// A gang that is still coming together: a task of it that gave up waiting
+    /// for the others' images is started again in its place, and they meet.
+    pub(super) fn gathers(&self, id: &str, now: u64) -> bool {
+        self.jobs.get(id).is_some_and(|j| {
+            j.spec.shape == Shape::Gang
+                && !j.cancelled
+                && j.placed.len() as u64 == u64::from(j.spec.tasks)
+                && j.placed
+                    .iter()
+                    .all(|p| p.stop.is_none() && p.running_since.is_none())
+                && now <= j.placed_at + self.gang_wait_ms(j)
+        })
+    }
+
     /// A gang that does not come together within its wait is stopped and
     /// queued again; so is one that lost a member before it began. Places
     /// whose start never went out are given up when their machine falls
@@ -136,10 +150,10 @@
             if whole && started {
                 continue;
             }
-            let since = j.placed.iter().map(|p| p.since).max().unwrap_or(now);
-            if whole && now <= since + self.gang_wait_ms(j) {
+            if whole && now <= j.placed_at + self.gang_wait_ms(j) {
                 continue;
             }
+            let since = j.placed.iter().map(|p| p.since).max().unwrap_or(now);
             if !whole && started {
                 // The others notice by themselves.
                 if now < since + Self::ms(2.0 * self.cl.workers.gang_peer_s) {
@@ -217,6 +231,7 @@
         // So many at once: it is rather this controller that is cut off.
         let cut = up >= 3 && silent * 2 > up;
         let again = 4000;
+        let taken = Self::ms(self.cl.workers.gang_peer_s / 2.0);
         let mut due: Vec<(Arc<str>, &'static str)> = Vec::new();
         for m in self.fleet.values_mut() {
             m.settle_idle(now);
@@ -227,6 +242,11 @@
             let boot = self.flavor(&m.flavor).map_or(60.0, |f| f.boot_s);
             let why = if m.listed == Listed::Failed {
                 Some("it failed")
+            } else if m
+                .reclaim_at
+                .is_some_and(|t| now > t + taken && m.heard.is_none_or(|h| h < t))
+            {
+                Some("the cloud took it")
             } else if m.listed == Listed::Gone && silent > quiet {
                 Some("it is not listed any more")
             } else if m.leaving.is_some() && !m.busy() {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -387,10 +387,11 @@
     }
 
     /// Lower is better: seconds of fetching, of dearness, and a tight fit.
-    fn score(&self, i: usize, job: &JobView, free: Room) -> f64 {
+    /// `fetches`: another task of the job is to go there, and its image.
+    fn score(&self, i: usize, job: &JobView, free: Room, fetches: bool) -> f64 {
         let m = &self.machines[i];
         let spec = &job.spec;
-        let fetch = if m.images.iter().any(|x| **x == *spec.image) {
+        let fetch = if fetches || m.images.iter().any(|x| **x == *spec.image) {
             0.0
         } else {
             spec.image_gb / m.fetch.max(0.01)
@@ -469,7 +470,7 @@
             .iter()
             .map(|k| (loses(*k) + 1.0) * m.tasks[*k].room.left_share(m.total))
             .sum::<f64>()
-            + self.score(i, job, room);
+            + self.score(i, job, room, false);
         Some(Bid {
             cost,
             machine: i,
@@ -510,7 +511,7 @@
             let f = self.free_for(i, job);
             if f.fits(need) {
                 bids.push(Bid {
-                    cost: self.score(i, job, f),
+                    cost: self.score(i, job, f, false),
                     machine: i,
                     free: f,
                     victims: vec![],
@@ -596,7 +597,7 @@
             free.insert(i, f);
             if f.fits(need) {
                 bids.push(Bid {
-                    cost: self.score(i, job, f),
+                    cost: self.score(i, job, f, true),
                     machine: i,
                     free: f,
                     victims: vec![],
@@ -633,7 +634,7 @@
             let cost: f64 = p
                 .tasks
                 .iter()
-                .map(|(_, i)| self.score(*i, job, self.machines[*i].total))
+                .map(|(_, i)| self.score(*i, job, self.machines[*i].total, false))
                 .sum();
             let better = best.as_ref().is_none_or(|b| {
                 (usize::MAX - p.tasks.len(), p.victims.len())
