Gangs by the work they ask for, too; nothing rented or deleted without certain leadership

Cause: aims count jobs, and under bursts large gangs went before several small ones. Deletions and rentals now need certain leadership, and the guard against an own cut looks sooner.

--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -15,7 +15,10 @@
 
     /// Machines that can't be reached, and all that should be.
     pub fn reach(&self, now: u64) -> (usize, usize) {
-        let quiet = Self::ms(self.cl.workers.report_s * 2.5);
+        // Sooner than a machine is given up for its silence.
+        let w = &self.cl.workers;
+        let lost = w.lease_s * self.op.lost_lease_share;
+        let quiet = Self::ms((w.report_s * 2.5).min(lost * 0.7));
         let mut silent = 0;
         let mut up = 0;
         for m in self.fleet.values().filter(|m| Self::up(m)) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -352,6 +352,9 @@
 
     fn effect(&mut self, e: Effect) {
         let epoch = self.control.as_ref().map_or(0, |c| c.epoch);
+        // Without certain leadership nothing is rented or deleted: a cut may
+        // hold the request and deliver it to a successor's fleet.
+        let sure = self.lead.sure(self.now.steady);
         match e {
             Effect::Write {
                 job,
@@ -413,7 +416,7 @@
                 kind,
                 count,
             } => {
-                if !self.cloud.take(self.now.steady, 1.0, 0.0) {
+                if !sure || !self.cloud.take(self.now.steady, 1.0, 0.0) {
                     if let Some(c) = &mut self.control {
                         c.not_asked(&booking, self.now.steady);
                     }
@@ -438,7 +441,7 @@
                 );
             }
             Effect::Delete { hosts } => {
-                if !self.cloud.take(self.now.steady, 1.0, 0.0) {
+                if !sure || !self.cloud.take(self.now.steady, 1.0, 0.0) {
                     return; // asked for again by and by
                 }
                 let body = wire::encode(&wire::Hosts {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -266,10 +266,7 @@
         // What has missed all aims has nothing to lose by waiting. Of the rest,
         // jobs with little left to do go first: more of them are in time.
         let lost = j.start_by.is_none();
-        let work = match j.spec.shape {
-            Shape::Gang => 1.0,
-            _ => j.want.len() as f64,
-        };
+        let work = j.want.len() as f64;
         let slack = j.start_by.unwrap_or(j.at_s) - s.now_s + work * j.spec.expected_s;
         (
             !within(&s.teams, &j.spec.team),
