Arrivals count by when they were submitted, and not those that were there at the start

Cause: a successor saw all live jobs at once and took them for arrivals, so the reserve doubled after each change of leaders.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -252,6 +252,8 @@
     pub epoch: u64,
     /// Of the leader key.
     pub stamp: u64,
+    /// Time of day when it began, in milliseconds.
+    pub wall: u64,
 }
 
 /// What the leader keeps in mind. Made anew with each leadership.
@@ -263,6 +265,8 @@
     me: String,
     pub epoch: u64,
     leader_stamp: u64,
+    /// Time of day when this leadership began.
+    wall: u64,
     cl: Cluster,
     op: Operator,
     since: u64,
@@ -289,26 +293,61 @@
     gave_up: bool,
 }
 
-/// How often jobs of a class come, the older the less it counts.
+/// How often tasks of a class come, the older the less they count.
 #[derive(Debug)]
 struct Arrivals {
     spec: Arc<Spec>,
     weight: f64,
-    at: u64,
+    at: i64,
+    /// When the first came. What comes with it was there before us, and says
+    /// nothing about how often work comes.
+    first: i64,
 }
 
 impl Arrivals {
-    fn fade(&self, now: u64, boot_s: f64) -> f64 {
-        let dt = now.saturating_sub(self.at) as f64 / 1000.0;
-        self.weight * (-dt / (FADE_BOOTS * boot_s)).exp()
+    fn new(spec: Arc<Spec>, at: i64) -> Arrivals {
+        Arrivals {
+            spec,
+            weight: 0.0,
+            at,
+            first: at,
+        }
     }
+
+    fn came(&mut self, spec: &Arc<Spec>, at: i64, boot_s: f64) {
+        self.first = self.first.min(at);
+        if (at - self.first) as f64 <= START_BOOTS * boot_s * 1000.0 {
+            return;
+        }
+        let fade = FADE_BOOTS * boot_s * 1000.0;
+        let n = f64::from(spec.tasks);
+        if at >= self.at {
+            self.weight = self.weight * (-(at - self.at) as f64 / fade).exp() + n;
+            self.at = at;
+        } else {
+            self.weight += n * (-(self.at - at) as f64 / fade).exp();
+        }
+        self.spec = spec.clone();
+    }
+
+    /// Tasks a second.
     fn rate(&self, now: u64, boot_s: f64) -> f64 {
-        self.fade(now, boot_s) / (FADE_BOOTS * boot_s)
+        let now = now as i64;
+        let fade = FADE_BOOTS * boot_s;
+        let age = (now - self.at).max(0) as f64 / 1000.0;
+        let known = (now - self.first) as f64 / 1000.0 - START_BOOTS * boot_s;
+        let known = known.max(2.0 * START_BOOTS * boot_s);
+        // Not yet seen for as long as it would take to fade.
+        let seen = 1.0 - (-known / fade).exp();
+        self.weight * (-age / fade).exp() / (fade * seen)
     }
 }
 
 /// How far back arrivals count, in boot times.
 const FADE_BOOTS: f64 = 3.0;
+/// How long after the first job of a class others count as having been there
+/// with it, in boot times.
+const START_BOOTS: f64 = 0.25;
 
 const ORDERS_MAX: usize = 300;
 const WANT_MAX: usize = 256;
@@ -341,6 +380,7 @@
             me: seat.member,
             epoch: seat.epoch,
             leader_stamp: seat.stamp,
+            wall: seat.wall,
             cl: cl.clone(),
             op: op.clone(),
             since: now,
@@ -417,19 +457,14 @@
         debug!("{id} is new: {:?}", r.spec);
         let spec = Arc::new(r.spec.clone());
         if !r.spec.spot && !r.cancelled {
+            // By when it was submitted: a successor sees all at once.
+            let wall = self.wall + now.saturating_sub(self.since);
+            let came = now as i64 - (wall as i64 - r.at as i64).max(0);
             let boot = self.boot_s();
-            let n = f64::from(r.spec.tasks);
-            let a = self
-                .arrivals
+            self.arrivals
                 .entry(r.spec.class.clone())
-                .or_insert(Arrivals {
-                    spec: spec.clone(),
-                    weight: 0.0,
-                    at: now,
-                });
-            a.weight = a.fade(now, boot) + n;
-            a.at = now;
-            a.spec = spec.clone();
+                .or_insert_with(|| Arrivals::new(spec.clone(), came))
+                .came(&spec, came, boot);
         }
         let mut j = Job {
             id: id.into(),
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -103,6 +103,7 @@
                         member: self.set.member.clone(),
                         epoch,
                         stamp,
+                        wall: self.now.wall,
                     },
                     &self.set.cluster,
                     &self.op,
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -361,6 +361,7 @@
         member: "c0".into(),
         epoch: 2,
         stamp: 3,
+        wall: 1_000_000,
     };
     Control::new(
         seat,
