--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -354,6 +354,8 @@
 /// Boot times after which a job of which nothing has begun is not overtaken any
 /// more: many small jobs in time must not starve the largest.
 const OVERTAKEN_BOOTS: f64 = 3.0;
+/// An array's turn then is for this part of its tasks, one in so many.
+const TURN_PART: u32 = 4;
 /// Boot times after which a machine is not waited for any more.
 const LATE_BOOTS: f64 = 1.6;
 /// How often machines and gangs are looked over, as a share of the time in
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -371,7 +371,7 @@
                 // Still there in part: the whole of it goes, then starts anew.
                 continue;
             }
-            let want = j.want(if gang {
+            let mut want = j.want(if gang {
                 j.spec.tasks as usize
             } else {
                 WANT_MAX.min(runs_max.saturating_sub(j.placed.len() + j.done.0.len() / 2))
@@ -379,6 +379,13 @@
             if want.is_empty() {
                 continue;
             }
+            let overdue = j.placed.is_empty()
+                && j.done.is_empty()
+                && now_s > j.at as f64 / 1000.0 + OVERTAKEN_BOOTS * self.boot_s();
+            if overdue && !gang {
+                // Its turn is to begin, not to push all others aside.
+                want.truncate(j.spec.tasks.div_ceil(TURN_PART) as usize);
+            }
             jobs.push(JobView {
                 id: j.id.clone(),
                 spec: j.spec.clone(),
@@ -388,9 +395,7 @@
                 zones: self.zones_of(j, &strays),
                 shun: j.shun.clone(),
                 resting: now < j.rest_until.max(j.miss_until),
-                overdue: j.placed.is_empty()
-                    && j.done.is_empty()
-                    && now_s > j.at as f64 / 1000.0 + OVERTAKEN_BOOTS * self.boot_s(),
+                overdue,
             });
         }
         self.waiting = !jobs.is_empty();
