A machine back within a moment is asked and kept, not taken for deaf

Cause: a new session while check-ins were answered counted as proof that answers don't reach the machine, so a sound one that had just restarted was given back. Now it gets no work until it has answered a call, which a deaf one never does.

--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -21,6 +21,7 @@
             && m.heard.is_some()
             && m.epoch >= self.epoch
             && m.unheeded == 0
+            && !m.unproven
             && self.silent_ms(m, now) <= Self::ms(self.cl.workers.report_s * self.op.silent_reports)
     }
 
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -25,18 +25,17 @@
         if !m.take(r, now) {
             return false;
         }
-        let woke = (was.0, was.1) != (true, m.epoch);
+        let proves = !checkin && m.unproven;
+        let woke = (was.0, was.1) != (true, m.epoch) || proves;
         if m.delete_sent.is_some() && m.leaving.is_none() {
             m.leaving = Some("its deletion was sent");
         }
+        let answered = m.answered.is_some_and(|t| now < t + lease * 3 / 4);
         if checkin {
             m.heed(r);
+            m.unproven |= was.0 && m.tenure > was.2 && answered;
         }
-        if was.0 && m.tenure > was.2 && m.answered.is_some_and(|t| now < t + lease * 3 / 4) {
-            // Its lease ran out although its check-ins were answered: the
-            // answers don't reach it.
-            m.unheeded += UNHEEDED_MAX;
-        }
+        m.unproven &= !proves;
         let host = m.name.clone();
         let fresh = r.epoch >= self.epoch;
         let placeable = Self::placeable_now(m) && fresh;
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -331,7 +331,9 @@
         let mut left = 1 + self.fleet.len() / PROBE_PARTS;
         for m in self.fleet.values_mut() {
             let last = m.heard.unwrap_or(m.known_since).max(self.since);
-            let due = now > last + quiet || (m.epoch < self.epoch && now > self.since + soon);
+            let due = now > last + quiet
+                || m.unproven
+                || (m.epoch < self.epoch && now > self.since + soon);
             if !due
                 || now < m.probed + quiet / 2
                 || (m.heard.is_none() && m.listed != Listed::Running)
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -120,6 +120,10 @@
     pub answered: Option<u64>,
     /// Check-ins in a row that showed no effect of the answer before.
     pub unheeded: u32,
+    /// It began a new session although its check-ins were answered. Either it
+    /// came back from an end, or the answers don't reach it: until it has
+    /// answered a call, it gets no work.
+    pub unproven: bool,
     /// What the planner sees of it, as long as nothing has changed.
     pub view: Option<Arc<MachineView>>,
 }
@@ -153,6 +157,7 @@
             told: None,
             answered: None,
             unheeded: 0,
+            unproven: false,
             view: None,
         }
     }
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -616,3 +616,22 @@
     assert_eq!(s.cloud.next, 3, "none was rented twice");
     s.assert_sound();
 }
+
+/// A machine that is back within a moment, with a new session, has lost its
+/// tasks but is sound: it is kept and gets work again.
+#[test]
+fn a_machine_back_within_a_moment_is_kept() {
+    let mut s = Sim::new();
+    s.cloud.most = 1;
+    s.run(1000);
+    s.submit(
+        0,
+        &submission("run-000001", "sweep", 2, 4.0, "normal"),
+        20_000,
+    );
+    s.run(14_000);
+    s.restart_worker("m-000000");
+    s.finish(60_000);
+    assert_eq!(s.cloud.next, 1, "no other was rented");
+    s.assert_sound();
+}
