One look-up for a machine's record, one name for a machine that stays; no change of behaviour

The place behind what a machine has on record was searched for in nine places, and whether it is leaving or being taken back was asked in four wordings.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -171,6 +171,14 @@
         }
     }
 
+    fn place(&self, task: u32) -> Option<&Placed> {
+        self.placed.iter().find(|p| p.task == task)
+    }
+
+    fn place_mut(&mut self, task: u32) -> Option<&mut Placed> {
+        self.placed.iter_mut().find(|p| p.task == task)
+    }
+
     fn touch(&mut self, now: u64) -> u64 {
         if self.ver <= self.committed {
             self.changed_at = now;
@@ -571,6 +579,12 @@
         self.dirty = true;
     }
 
+    /// The job and the place behind what a machine has on record.
+    fn behind(&self, o: &OnRecord) -> Option<(&Job, &Placed)> {
+        let j = self.jobs.get(&*o.job)?;
+        Some((j, j.place(o.task)?))
+    }
+
     fn drop_holds(&mut self, id: &str) {
         let Some(j) = self.jobs.get_mut(id) else {
             return;
@@ -605,7 +619,7 @@
         let Some(j) = self.jobs.get_mut(id) else {
             return;
         };
-        let Some(p) = j.placed.iter_mut().find(|p| p.task == task) else {
+        let Some(p) = j.place_mut(task) else {
             return;
         };
         if p.unsent() {
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -15,8 +15,7 @@
     /// token: a report that shows an older one may be a late copy of a machine
     /// that is gone, or come from one that our answers don't reach.
     pub(super) fn placeable(&self, m: &Machine, now: u64) -> bool {
-        m.leaving.is_none()
-            && m.reclaim_at.is_none()
+        m.stays()
             && !matches!(m.listed, Listed::Failed | Listed::Gone)
             && m.heard.is_some()
             && m.epoch >= self.epoch
@@ -297,8 +296,7 @@
         let tasks =
             m.on.iter()
                 .filter_map(|o| {
-                    let j = self.jobs.get(&*o.job)?;
-                    let p = j.placed.iter().find(|p| p.task == o.task)?;
+                    let (j, p) = self.behind(o)?;
                     let saves = j.spec.checkpoint_s > 0.0;
                     Some(TaskView {
                         job: o.job.clone(),
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -38,7 +38,7 @@
         m.unproven &= !proves;
         let host = m.name.clone();
         let fresh = r.epoch >= self.epoch;
-        let placeable = Self::placeable_now(m) && fresh;
+        let placeable = m.stays() && fresh;
         let mine = m.on.clone();
         let mut room = !m.busy() && (woke || m.idle_since == Some(now) || r.pieces.is_empty());
         for o in mine {
@@ -52,7 +52,7 @@
             let Some(j) = self.jobs.get_mut(&*o.job) else {
                 continue;
             };
-            let Some(p) = j.placed.iter_mut().find(|p| p.task == o.task) else {
+            let Some(p) = j.place_mut(o.task) else {
                 continue;
             };
             match found {
@@ -138,11 +138,7 @@
     /// A task that is on record and proven not to be on its machine may be
     /// started there under its attempt.
     fn restart(&mut self, id: &str, task: u32) {
-        let Some(p) = self
-            .jobs
-            .get_mut(id)
-            .and_then(|j| j.placed.iter_mut().find(|p| p.task == task))
-        else {
+        let Some(p) = self.jobs.get_mut(id).and_then(|j| j.place_mut(task)) else {
             return;
         };
         p.again = true;
@@ -230,10 +226,6 @@
         self.startable.contains(host)
     }
 
-    fn placeable_now(m: &Machine) -> bool {
-        m.leaving.is_none() && m.reclaim_at.is_none()
-    }
-
     /// The starts that are due on a machine, marked as sent.
     fn starts(&mut self, host: &str, how: Sent, now: u64) -> Vec<Start> {
         let mut out = Vec::new();
@@ -241,7 +233,7 @@
         let Some(m) = self.fleet.get(host) else {
             return out;
         };
-        if !Self::placeable_now(m) {
+        if !m.stays() {
             return out;
         }
         for o in &m.on {
@@ -252,7 +244,7 @@
                 continue;
             }
             let committed = j.committed;
-            let Some(p) = j.placed.iter_mut().find(|p| p.task == o.task) else {
+            let Some(p) = j.place_mut(o.task) else {
                 continue;
             };
             let direct = matches!(how, Sent::Direct { .. });
@@ -338,11 +330,8 @@
         out.extend(self.direct.remove(&*host).unwrap_or_default());
         let peer = 2.0 * self.cl.workers.gang_peer_s;
         for o in &m.on {
-            let Some(p) = self
-                .jobs
-                .get_mut(&*o.job)
-                .and_then(|j| j.placed.iter_mut().find(|p| p.task == o.task))
-            else {
+            let job = self.jobs.get_mut(&*o.job);
+            let Some(p) = job.and_then(|j| j.place_mut(o.task)) else {
                 continue;
             };
             let Some(s) = &mut p.stop else { continue };
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -84,10 +84,7 @@
         for m in self.fleet.values() {
             let Some(at) = m.reclaim_at else { continue };
             for o in &m.on {
-                let Some(j) = self.jobs.get(&*o.job) else {
-                    continue;
-                };
-                let Some(p) = j.placed.iter().find(|p| p.task == o.task) else {
+                let Some((j, p)) = self.behind(o) else {
                     continue;
                 };
                 let lead = Self::ms(j.spec.save_s) + slack + 500;
@@ -146,9 +143,10 @@
         let quiet = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
         for j in self.jobs.values() {
             for p in j.placed.iter().filter(|p| p.unsent()) {
-                let gone = self.fleet.get(&*p.host).is_none_or(|m| {
-                    m.leaving.is_some() || m.reclaim_at.is_some() || self.silent_ms(m, now) > quiet
-                });
+                let gone = self
+                    .fleet
+                    .get(&*p.host)
+                    .is_none_or(|m| !m.stays() || self.silent_ms(m, now) > quiet);
                 if gone {
                     lost.push((j.id.clone(), p.task));
                 }
@@ -192,12 +190,8 @@
     pub(super) fn release_holds(&mut self, now: u64) {
         let settle = Self::ms(2.0 * self.cl.workers.report_s);
         let leaving = |m: &Machine| {
-            m.on.iter().any(|o| {
-                self.jobs
-                    .get(&*o.job)
-                    .and_then(|j| j.placed.iter().find(|p| p.task == o.task))
-                    .is_some_and(|p| p.stop.is_some())
-            })
+            m.on.iter()
+                .any(|o| self.behind(o).is_some_and(|(_, p)| p.stop.is_some()))
         };
         let lost: Vec<Arc<str>> = self
             .jobs
@@ -205,9 +199,9 @@
             .filter(|j| {
                 let old = now > j.held_at + settle;
                 j.holds.iter().any(|h| {
-                    self.fleet.get(&**h).is_none_or(|m| {
-                        m.leaving.is_some() || m.reclaim_at.is_some() || (old && !leaving(m))
-                    })
+                    self.fleet
+                        .get(&**h)
+                        .is_none_or(|m| !m.stays() || (old && !leaving(m)))
                 })
             })
             .map(|j| j.id.clone())
@@ -222,11 +216,7 @@
     fn lost_start(&self, m: &Machine, now: u64) -> bool {
         let wait = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
         m.on.iter().any(|o| {
-            let p = self
-                .jobs
-                .get(&*o.job)
-                .and_then(|j| j.placed.iter().find(|p| p.task == o.task));
-            p.is_some_and(|p| {
+            self.behind(o).is_some_and(|(_, p)| {
                 p.phase.is_none()
                     && matches!(p.sent, Some(Sent::Direct { at, .. }) if now > at + wait)
             })
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -215,6 +215,11 @@
         self.live().filter(|t| !self.on.iter().any(|o| o.is(t)))
     }
 
+    /// Neither given back nor about to be taken back.
+    pub fn stays(&self) -> bool {
+        self.leaving.is_none() && self.reclaim_at.is_none()
+    }
+
     /// Whether anything may be on it, or is to come.
     pub fn busy(&self) -> bool {
         !self.on.is_empty() || !self.held.is_empty() || self.live().next().is_some()
