--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -285,6 +285,8 @@
     /// How often work came that needs ordinary machines, by class.
     arrivals: BTreeMap<String, Arrivals>,
     upkeep_next: u64,
+    /// Machines that can't be reached were given back.
+    gave_up: bool,
 }
 
 /// How often jobs of a class come, the older the less it counts.
@@ -357,6 +359,7 @@
             deletes: HashMap::new(),
             arrivals: BTreeMap::new(),
             upkeep_next: 0,
+            gave_up: false,
         };
         for (id, live) in &picture.jobs {
             c.job_seen(id, live, now);
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -440,6 +440,11 @@
                 j.miss_until = now + Self::ms(wait);
             }
         }
+        for h in d.unmet.iter().flat_map(|u| &u.hosts) {
+            if let Some(m) = self.fleet.get_mut(&**h) {
+                m.wanted = now;
+            }
+        }
         self.buy(&d.unmet, calls, now, wall);
     }
 
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -3,6 +3,9 @@
 
 use super::*;
 
+const SILENT: &str = "it is silent";
+const UNREACHED: &str = "what it is told does not reach it";
+
 impl Control {
     pub(super) fn silent_ms(&self, m: &Machine, now: u64) -> u64 {
         let last = m.heard.unwrap_or(m.known_since).max(self.since);
@@ -30,6 +33,11 @@
         (silent, up)
     }
 
+    /// Whether machines that can't be reached were given back.
+    pub fn gave_up(&self) -> bool {
+        self.gave_up
+    }
+
     /// `spare`: changes of records that may wait and yet go out now.
     pub fn tick(&mut self, now: u64, rev: u64, spare: usize) {
         if now >= self.upkeep_next {
@@ -234,7 +242,8 @@
         // So many at once: it is rather this controller that is cut off.
         let cut = up >= 3 && silent * 2 > up;
         let again = 4000;
-        let taken = Self::ms(self.cl.workers.gang_peer_s / 2.0);
+        let peer = Self::ms(self.cl.workers.gang_peer_s);
+        let taken = peer / 2;
         let mut due: Vec<(Arc<str>, &'static str)> = Vec::new();
         for m in self.fleet.values_mut() {
             m.settle_idle(now);
@@ -261,12 +270,13 @@
                     self.op.idle_boots
                 };
                 if silent > lost && !cut {
-                    Some("it is silent")
+                    Some(SILENT)
                 } else if (m.unheeded >= reports::UNHEEDED_MAX || self.lost_start(m, now)) && !cut {
-                    Some("what it is told does not reach it")
+                    Some(UNREACHED)
                 } else if m
                     .idle_since
                     .is_some_and(|t| now > t + Self::ms(idle * boot))
+                    && (m.wanted == 0 || now > m.wanted + peer)
                     && m.heard.is_some()
                     && !kept.contains(&m.name)
                 {
@@ -298,6 +308,7 @@
             if m.delete_sent.is_none_or(|t| now > t + again) {
                 if m.delete_sent.is_none() {
                     info!("giving back {n}: {why}");
+                    self.gave_up |= matches!(why, SILENT | UNREACHED);
                 }
                 m.delete_sent = Some(now);
                 delete.push(n.to_string());
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -105,6 +105,8 @@
     pub known_since: u64,
     pub up_since: Option<u64>,
     pub idle_since: Option<u64>,
+    /// When a gang that still lacks other machines would last have used it.
+    pub wanted: u64,
     /// Images fetched, the latest last, with their size.
     pub images: Vec<(Arc<str>, f64)>,
     /// No new tasks; given back once it is empty or silent.
@@ -142,6 +144,7 @@
             known_since: now,
             up_since: None,
             idle_since: None,
+            wanted: 0,
             images: vec![],
             leaving: None,
             delete_sent: None,
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -32,7 +32,8 @@
         // else should lead.
         if let Some(c) = &self.control {
             let (silent, up) = c.reach(now);
-            if up > 0 && silent == up {
+            // One machine alone may be at fault itself: it is given up first.
+            if up > 0 && silent == up && (up > 1 || c.gave_up()) {
                 let away: u32 = self.live_peers().map(|p| p.status.turned_away).sum();
                 if away > 0 && self.status().reached == 0 {
                     let rest = (self.set.cluster.workers.lease_s * 500.0) as u64;
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -233,6 +233,8 @@
     pub job: Arc<str>,
     pub count: u32,
     pub zones: Zones,
+    /// Where the others would go: not to be given back meanwhile.
+    pub hosts: Vec<Arc<str>>,
 }
 
 /// Whether a machine is one that the job allows, other tasks aside.
@@ -665,16 +667,19 @@
     fn missing(&self, job: &JobView) -> Unmet {
         let mut zones = job.zones.clone();
         let mut count = job.want.len();
+        let mut hosts = Vec::new();
         if let Some(p) = self.best_fit(job, &job.want, false, 0) {
             count -= p.tasks.len();
             for (_, i) in &p.tasks {
                 *zones.entry(self.machines[*i].zone.clone()).or_insert(0) += 1;
+                hosts.push(self.machines[*i].name.clone());
             }
         }
         Unmet {
             job: job.id.clone(),
             count: count as u32,
             zones,
+            hosts,
         }
     }
 }
@@ -782,6 +787,7 @@
                 job: job.id.clone(),
                 count: left as u32,
                 zones: job.zones.clone(),
+                hosts: vec![],
             }
         });
     }
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -475,3 +475,200 @@
     assert_eq!(ask(&mut s, "POST", "/work", again).map(|a| a.0), Some(200));
     s.assert_sound();
 }
+
+/// A machine's reports arrive, but nothing reaches it: neither answers nor
+/// commands. By its reports alone it looks alive for ever. It gets no more
+/// work, is deleted, and only then its tasks run elsewhere.
+#[test]
+fn a_machine_that_nothing_reaches() {
+    for (busy, from) in [(true, 9000), (false, 7200), (true, 6500)] {
+        let mut s = Sim::new();
+        s.run(1000);
+        let run = if busy { 60_000 } else { 1000 };
+        s.submit(0, &submission("run-000001", "sweep", 2, 4.0, "normal"), run);
+        s.run(from);
+        let host = s.workers.keys().next().cloned().expect("a machine");
+        s.deaf.insert(host.clone());
+        s.note(format!("{host} hears nothing any more"));
+        s.submit(
+            0,
+            &submission("run-000002", "group", 2, 4.0, "normal"),
+            4000,
+        );
+        assert!(
+            s.until(45_000, |s| !s.cloud.machines.contains_key(&host)),
+            "{}",
+            s.trace.join("\n")
+        );
+        assert!(
+            s.until(150_000, |s| s.all_done() && s.settled()),
+            "{}",
+            s.trace.join("\n")
+        );
+        s.assert_sound();
+        if busy && from == 9000 {
+            kept("deaf-machine", &s.trace);
+        }
+    }
+}
+
+/// Every check-in arrives again, after seconds and after more than a lease, at
+/// every controller, while leaders change and a machine dies: nothing is taken
+/// for newer than it is, and the dead machine gets no work.
+#[test]
+fn late_copies_of_reports() {
+    for k in 0..12 {
+        let mut s = two_jobs();
+        s.copies_after = vec![700, 9000, 50_000];
+        s.run(6500 + 400 * k);
+        let host = s.workers.keys().next().cloned().expect("a machine");
+        if k % 3 == 0 {
+            s.restart_worker(&host);
+        } else {
+            s.workers.remove(&host);
+            s.cloud.machines.get_mut(&host).expect("listed").up_at = u64::MAX;
+            s.note(format!("{host} dies"));
+        }
+        s.run(1000 * (k % 4));
+        if let Some(l) = s.leader() {
+            s.crash(l, 3000);
+        }
+        let id = format!("run-00001{k}");
+        s.run(4000);
+        s.submit(
+            (0..3).find(|n| s.nodes[*n].is_some()).expect("one is up"),
+            &submission(&id, "group", 3, 6.0, "high"),
+            5000,
+        );
+        assert!(
+            s.until(120_000, |s| s.all_done() && s.settled()),
+            "{k}:\n{}",
+            s.trace.join("\n")
+        );
+        // Copies of machines that were given back long ago rent nothing anew
+        // and are not taken in.
+        s.run(60_000);
+        let left: Vec<&String> = s.cloud.machines.keys().collect();
+        assert!(left.is_empty(), "{k}: {left:?}\n{}", s.trace.join("\n"));
+        s.assert_sound();
+        s.assert_known();
+    }
+}
+
+/// A leader loses the state service and the other controllers, but not its
+/// workers: it can't keep them under its token beyond what a cancellation
+/// leaves it, and nothing runs twice.
+#[test]
+fn a_leader_that_keeps_only_its_workers() {
+    for cut_after in [6000, 7500, 9000, 12_000] {
+        let mut s = Sim::new();
+        s.run(1000);
+        let job = |id: &str| submission(id, "sweep", 3, 4.0, "best_effort");
+        s.submit(0, &job("run-000001"), 100_000);
+        s.submit(
+            0,
+            &submission("run-000002", "group", 2, 6.0, "normal"),
+            30_000,
+        );
+        s.run(cut_after);
+        let l = s.leader().expect("a leader");
+        s.no_state.insert(l);
+        s.no_peers.insert(l);
+        s.note(format!("c{l} keeps only its workers"));
+        s.run(4000);
+        let slot = s.ask((l + 1) % 3, "POST", "/work/run-000001/cancel", vec![]);
+        assert!(s.until(5000, |s| s.answer(slot).is_some()));
+        assert_eq!(s.answer(slot).map(|a| a.0), Some(200));
+        s.run(70_000);
+        let gone = |s: &Sim| {
+            let mut all = s.workers.values().flat_map(|w| &w.tasks);
+            !all.any(|t| t.name.starts_with("run-000001/") && t.state != "ended")
+        };
+        assert!(gone(&s), "{}", s.trace.join("\n"));
+        s.no_peers.clear();
+        s.heal_state();
+        s.run(5000);
+        assert!(
+            s.until(150_000, |s| s.all_done() && s.settled()),
+            "{}",
+            s.trace.join("\n")
+        );
+        s.assert_sound();
+        s.assert_known();
+    }
+}
+
+/// Controllers and workers are back within a fraction of a second, also in the
+/// middle of an election: nothing is taken for its earlier life's.
+#[test]
+fn back_within_a_moment() {
+    for k in 0..24 {
+        let mut s = two_jobs();
+        s.run(5800 + 120 * k);
+        let l = s.leader().expect("a leader");
+        s.crash(l, 5 + 10 * (k % 5));
+        s.run(20 + 17 * (k % 7));
+        for n in 0..3 {
+            s.crash(n, 30 + 40 * ((k + n as u64) % 3));
+        }
+        if let Some(host) = s.workers.keys().nth(k as usize % 2).cloned() {
+            s.restart_worker(&host);
+        }
+        s.run(150);
+        s.crash((l + 1) % 3, 10);
+        assert!(
+            s.until(150_000, |s| s.all_done() && s.settled()),
+            "{k}:\n{}",
+            s.trace.join("\n")
+        );
+        s.assert_sound();
+        s.assert_known();
+    }
+}
+
+/// Found on a grown day: an image took longer to fetch than `gang_wait_s`, so
+/// the tasks that had theirs gave up, the whole gang was stopped, and the same
+/// happened again and again. Now they are started again in their places.
+#[test]
+fn a_gang_with_one_slow_fetch() {
+    let mut s = Sim::new();
+    s.run(1000);
+    let mut job = submission("run-000001", "group", 2, 8.0, "normal");
+    if let ciborium::Value::Map(m) = &mut job {
+        for (k, v) in m.iter_mut() {
+            if k.as_text() == Some("imageGb") {
+                *v = ciborium::Value::Float(20.0);
+            }
+        }
+    }
+    s.submit(0, &job, 10_000);
+    s.slow_pull.insert("m-000001".into(), 50_000);
+    assert!(
+        s.until(75_000, |s| s.all_done() && s.settled()),
+        "{}",
+        s.trace.join("\n")
+    );
+    s.assert_sound();
+    kept("slow-fetch", &s.trace);
+}
+
+/// Found with late copies of reports: machines rented for a gang don't come up
+/// together, and the first were given back as idle before the last was there,
+/// again and again.
+#[test]
+fn a_gangs_first_machines_wait_for_its_last() {
+    let mut s = Sim::new();
+    s.cloud.most = 2;
+    s.run(1000);
+    s.submit(0, &submission("run-000001", "group", 3, 6.0, "high"), 5000);
+    // The third machine can be had only when the others have been up for long.
+    s.run(9000);
+    s.cloud.most = 3;
+    assert!(
+        s.until(30_000, |s| s.all_done() && s.settled()),
+        "{}",
+        s.trace.join("\n")
+    );
+    assert_eq!(s.cloud.next, 3, "none was rented twice");
+    s.assert_sound();
+}
