--- a/src/net.rs
+++ b/src/net.rs
@@ -106,6 +106,21 @@
     eof: bool,
 }
 
+impl Conn {
+    fn new(sock: TcpStream, role: Role, out: Vec<u8>, open: bool) -> Conn {
+        Conn {
+            sock,
+            role,
+            input: Vec::new(),
+            out,
+            sent: 0,
+            open,
+            used: Instant::now(),
+            eof: false,
+        }
+    }
+}
+
 /// All sockets of the process.
 pub struct Net {
     poll: Poll,
@@ -228,24 +243,14 @@
                 continue;
             }
             self.servers += 1;
-            self.conns.insert(
-                id,
-                Conn {
-                    sock,
-                    role: Role::Server {
-                        door,
-                        busy: false,
-                        close: false,
-                        started: None,
-                    },
-                    input: Vec::new(),
-                    out: Vec::new(),
-                    sent: 0,
-                    open: true,
-                    used: Instant::now(),
-                    eof: false,
-                },
-            );
+            let role = Role::Server {
+                door,
+                busy: false,
+                close: false,
+                started: None,
+            };
+            let conn = Conn::new(sock, role, Vec::new(), true);
+            self.conns.insert(id, conn);
         }
     }
 
@@ -645,23 +650,12 @@
             self.ready.push(fail);
             return;
         }
-        self.conns.insert(
-            id,
-            Conn {
-                sock,
-                role: Role::Client {
-                    to,
-                    call: Some(tag),
-                    deadline,
-                },
-                input: Vec::new(),
-                out,
-                sent: 0,
-                open: false,
-                used: now,
-                eof: false,
-            },
-        );
+        let role = Role::Client {
+            to,
+            call: Some(tag),
+            deadline,
+        };
+        self.conns.insert(id, Conn::new(sock, role, out, false));
     }
 
     fn sweep(&mut self, now: Instant) {
