A gang that lost a member keeps the room of its others, and its lack is bought at once

A gang of which places remain took no part in the plan, so nothing kept its machines. Now it takes part as one that can't start yet: what it will lack, victims counted as it may have them, is bought, and the machines that it would use are kept. Room promised to one such gang does not count for the next.

--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -333,6 +333,39 @@
         }
     }
 
+    /// A gang that has lost a member, or is being stopped, takes no part until
+    /// all its places are proven empty. What it will lack then is looked for
+    /// now, and the room that its others leave is not given back meanwhile: one
+    /// machine that falls silent would else empty all the others of its gang,
+    /// just to rent them anew.
+    fn broken(&self, j: &Job, now_s: f64) -> Option<JobView> {
+        if j.cancelled {
+            return None;
+        }
+        let mut zones = Zones::new();
+        let mut sound = HashSet::new();
+        for p in j.placed.iter().filter(|p| p.stop.is_none()) {
+            // Silence alone says nothing: it may be ours.
+            if let Some(m) = self.fleet.get(&*p.host).filter(|m| m.stays()) {
+                *zones.entry(m.zone.clone()).or_insert(0) += 1;
+                sound.insert(p.task);
+            }
+        }
+        let want: Vec<u32> = (0..j.spec.tasks).filter(|t| !sound.contains(t)).collect();
+        (!want.is_empty()).then(|| JobView {
+            id: j.id.clone(),
+            spec: j.spec.clone(),
+            want,
+            at_s: j.at as f64 / 1000.0,
+            start_by: self.start_by(j, now_s),
+            zones,
+            shun: j.shun.clone(),
+            resting: false,
+            broken: true,
+            overdue: false,
+        })
+    }
+
     /// `wall` is the time of day in milliseconds, as job records hold it.
     pub fn snapshot(&mut self, now: u64, wall: u64) -> Snapshot {
         self.dirty = false;
@@ -368,6 +401,7 @@
             let gang = j.spec.shape == Shape::Gang;
             if gang && !j.placed.is_empty() {
                 // Still there in part: the whole of it goes, then starts anew.
+                jobs.extend(self.broken(j, now_s));
                 continue;
             }
             let mut want = j.want(if gang {
@@ -394,6 +428,7 @@
                 zones: self.zones_of(j, &strays),
                 shun: j.shun.clone(),
                 resting: now < j.rest_until.max(j.miss_until),
+                broken: false,
                 overdue,
             });
         }
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -129,6 +129,9 @@
     pub shun: HashSet<Arc<str>>,
     /// Backing off: takes no part, but its held room stays.
     pub resting: bool,
+    /// A gang of which some places are not proven empty yet: it takes no part,
+    /// either, but will come back with victims if it has to.
+    pub broken: bool,
     /// Has waited so long without a single start that its turn has come.
     pub overdue: bool,
 }
@@ -335,6 +338,13 @@
     holders: HashSet<Arc<str>>,
     /// Victims chosen in this cycle: no job sees them again.
     gone: HashSet<(usize, usize)>,
+    /// Room that gangs without a place would use, by machine. It is free for
+    /// whoever can start now, but counts only once when asking what is missing.
+    promised: HashMap<usize, Room>,
+    /// Tasks that would make room for them.
+    doomed: HashSet<(usize, usize)>,
+    /// Asking what is missing.
+    counting: bool,
     /// Machines of one kind are alike to a job's demands.
     kinds: Vec<usize>,
     kind_of: Vec<usize>,
@@ -364,6 +374,9 @@
                 .map(|h| h.job.clone())
                 .collect(),
             gone: HashSet::new(),
+            promised: HashMap::new(),
+            doomed: HashSet::new(),
+            counting: false,
             machines: s.machines,
             teams: s.teams,
             now_s: s.now_s,
@@ -382,6 +395,9 @@
                 free.sub(h.room);
             }
         }
+        if let Some(p) = self.promised.get(&i).filter(|_| self.counting) {
+            free.sub(*p);
+        }
         free
     }
 
@@ -411,6 +427,7 @@
         t.stoppable
             && t.job != job.id
             && !self.gone.contains(&(i, k))
+            && !(self.counting && self.doomed.contains(&(i, k)))
             && (t.urgency < job.spec.urgency
                 || (within
                     && *t.team != *job.spec.team
@@ -663,16 +680,28 @@
         }
     }
 
-    /// What a gang lacks: part of it may have room already.
-    fn missing(&self, job: &JobView) -> Unmet {
+    /// What a gang lacks: part of it may have room already, which then is not
+    /// there for the next one that asks.
+    fn missing(&mut self, job: &JobView) -> Unmet {
+        let need = Room::of(&job.spec);
         let mut zones = job.zones.clone();
         let mut count = job.want.len();
         let mut hosts = Vec::new();
-        if let Some(p) = self.best_fit(job, &job.want, false, 0) {
+        self.counting = true;
+        let found = self.best_fit(job, &job.want, job.broken, 0);
+        self.counting = false;
+        if let Some(p) = found {
             count -= p.tasks.len();
+            for (i, k) in &p.victims {
+                let mut room = self.promised.get(i).copied().unwrap_or_default();
+                room.sub(self.machines[*i].tasks[*k].room);
+                self.promised.insert(*i, room);
+                self.doomed.insert((*i, *k));
+            }
             for (_, i) in &p.tasks {
                 *zones.entry(self.machines[*i].zone.clone()).or_insert(0) += 1;
                 hosts.push(self.machines[*i].name.clone());
+                self.promised.entry(*i).or_default().add(need);
             }
         }
         Unmet {
@@ -708,7 +737,7 @@
             }
             continue;
         }
-        if job.resting {
+        if job.resting || job.broken {
             // It takes no part, but what it lacks is bought all the same: else
             // the machines on their way would count for others.
             d.unmet.push(b.missing(job));
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -74,6 +74,7 @@
         zones: BTreeMap::new(),
         shun: HashSet::new(),
         resting: false,
+        broken: false,
         overdue: false,
     }
 }
