--- a/src/net.rs
+++ b/src/net.rs
@@ -1,7 +1,7 @@
 //! The event loop: sockets over `mio`, HTTP/1.1 over `httparse`, as a server
 //! on two doors and as a client with kept-open connections.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,7 +18,15 @@
 const WAKE: Token = Token(0);
 const FRONT: Token = Token(1);
 const MESH: Token = Token(2);
+/// Where workers report.
+pub const CHECKIN: &str = "/checkin";
 const FIRST_CONN: usize = 16;
+/// Shares of all sockets: for those who connect to us, and for our calls to
+/// workers. The rest is for calls that must get through, and for the time that
+/// closing takes.
+const SHARES: usize = 16;
+const SERVERS: usize = 12;
+const CLIENTS: usize = 3;
 /// A request must be complete within this time of its first byte.
 const REQUEST_S: u64 = 10;
 const IDLE_S: u64 = 120;
@@ -83,6 +91,8 @@
 enum Role {
     Server {
         door: Door,
+        /// It has brought a worker's report.
+        worker: bool,
         /// A request was handed on and not answered yet.
         busy: bool,
         close: bool,
@@ -121,6 +131,18 @@
     }
 }
 
+/// What the sockets have to keep to.
+#[derive(Debug, Clone)]
+pub struct Bounds {
+    /// How many there may be.
+    pub fd_limit: usize,
+    /// Whom a call must always reach, however many workers are called: the
+    /// state service, the cloud and the other controllers.
+    pub vital: HashSet<SocketAddr>,
+    /// A worker that has said nothing for so long is gone.
+    pub worker_idle: Duration,
+}
+
 /// All sockets of the process.
 pub struct Net {
     poll: Poll,
@@ -132,13 +154,18 @@
     next: usize,
     servers: usize,
     server_max: usize,
+    /// Connections to workers; those to `vital` addresses are few and not
+    /// counted.
+    clients: usize,
+    client_max: usize,
+    bounds: Bounds,
     ready: Vec<Event>,
     swept: Instant,
     accept_again: bool,
 }
 
 impl Net {
-    pub fn new(front: SocketAddr, mesh: SocketAddr, fd_limit: usize) -> io::Result<Net> {
+    pub fn new(front: SocketAddr, mesh: SocketAddr, bounds: Bounds) -> io::Result<Net> {
         let poll = Poll::new()?;
         let mut front = TcpListener::bind(front)?;
         let mut mesh = TcpListener::bind(mesh)?;
@@ -155,7 +182,10 @@
             pool: HashMap::new(),
             next: FIRST_CONN,
             servers: 0,
-            server_max: (fd_limit / 4 * 3).max(8),
+            server_max: (bounds.fd_limit * SERVERS / SHARES).max(8),
+            clients: 0,
+            client_max: (bounds.fd_limit * CLIENTS / SHARES).max(4),
+            bounds,
             ready: Vec::new(),
             swept: Instant::now(),
             accept_again: false,
@@ -245,6 +275,7 @@
             self.servers += 1;
             let role = Role::Server {
                 door,
+                worker: false,
                 busy: false,
                 close: false,
                 started: None,
@@ -254,19 +285,49 @@
         }
     }
 
-    /// Makes room for a newcomer: the server connection idle the longest goes.
+    /// Makes room for a newcomer: the server connection idle the longest goes,
+    /// a worker's only if there is no other. A user whose connection is closed
+    /// comes back with the next request, a worker tries elsewhere first.
     fn drop_idlest(&mut self) {
         let idlest = self
             .conns
             .iter()
-            .filter(|(_, c)| matches!(c.role, Role::Server { busy: false, .. }))
-            .min_by_key(|(_, c)| c.used)
-            .map(|(id, _)| *id);
-        if let Some(id) = idlest {
+            .filter_map(|(id, c)| match c.role {
+                Role::Server {
+                    busy: false,
+                    worker,
+                    ..
+                } => Some((worker, c.used, *id)),
+                _ => None,
+            })
+            .min();
+        if let Some((_, _, id)) = idlest {
             self.close(id);
         }
     }
 
+    /// Room for one more call to a worker: the connection idle the longest
+    /// goes. False if all are in use.
+    fn spare_client(&mut self) -> bool {
+        if self.clients < self.client_max {
+            return true;
+        }
+        let idlest = self
+            .conns
+            .iter()
+            .filter_map(|(id, c)| match c.role {
+                Role::Client { to, call: None, .. } if !self.bounds.vital.contains(&to) => {
+                    Some((c.used, *id))
+                }
+                _ => None,
+            })
+            .min();
+        if let Some((_, id)) = idlest {
+            self.close(id);
+        }
+        self.clients < self.client_max
+    }
+
     fn close(&mut self, id: usize) {
         let Some(mut c) = self.conns.remove(&id) else {
             return;
@@ -275,6 +336,9 @@
         match c.role {
             Role::Server { .. } => self.servers -= 1,
             Role::Client { to, call, .. } => {
+                if !self.bounds.vital.contains(&to) {
+                    self.clients -= 1;
+                }
                 if let Some(list) = self.pool.get_mut(&to) {
                     list.retain(|x| *x != id);
                 }
@@ -396,6 +460,7 @@
         };
         let Role::Server {
             door,
+            worker,
             busy,
             close,
             started,
@@ -456,6 +521,7 @@
             body: c.input[head..head + length].to_vec(),
         };
         c.input.drain(..head + length);
+        *worker = request.path == CHECKIN;
         *busy = true;
         *close = shut;
         *started = None;
@@ -630,6 +696,11 @@
             tag,
             outcome: Outcome::Unsent,
         };
+        let counted = !self.bounds.vital.contains(&to);
+        if counted && !self.spare_client() {
+            self.ready.push(fail);
+            return;
+        }
         let Ok(mut sock) = TcpStream::connect(to) else {
             self.ready.push(fail);
             return;
@@ -655,6 +726,7 @@
             call: Some(tag),
             deadline,
         };
+        self.clients += usize::from(counted);
         self.conns.insert(id, Conn::new(sock, role, out, false));
     }
 
@@ -673,6 +745,7 @@
                 Role::Server {
                     started: Some(t), ..
                 } => now.duration_since(*t).as_secs() >= REQUEST_S,
+                Role::Server { worker: true, .. } => idle >= self.bounds.worker_idle,
                 Role::Server { .. } => {
                     idle.as_secs() >= if c.out.is_empty() { IDLE_S } else { REQUEST_S }
                 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,7 +22,7 @@
 use crate::job::{Final, Record, Shape, Spec};
 use crate::lead::{self, Lead, Told};
 use crate::mesh::{Hand, Handed, Status, HAND_PATH, STATUS_PATH};
-use crate::net::{Action, Door, Event, Outcome, Request};
+use crate::net::{Action, Door, Event, Outcome, Request, CHECKIN};
 use crate::plan::{Decision, Snapshot};
 use crate::settings::{Operator, Settings};
 use crate::state::{Budget, Commit, Item, Queue, LEADERS, USERS};
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -56,12 +56,12 @@
                 _ => self.answer(conn, 404, None, vec![]),
             },
             Door::Front => match (r.method.as_str(), r.path.as_str()) {
-                ("POST", "/checkin") => self.checkin(conn, &r.body),
+                ("POST", CHECKIN) => self.checkin(conn, &r.body),
                 ("GET", "/up") => {
                     let ok = self.up();
                     self.answer(conn, if ok { 200 } else { 503 }, None, vec![]);
                 }
-                (_, "/checkin" | "/up") => self.answer(conn, 405, None, vec![]),
+                (_, CHECKIN | "/up") => self.answer(conn, 405, None, vec![]),
                 (m, p) => {
                     let (m, p) = (m.to_string(), p.to_string());
                     self.user(
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,11 +1,13 @@
 //! Threads and clocks: the I/O thread and the planning thread share one
 //! [`Node`] behind a lock that is held for short steps only.
 
+use std::collections::HashSet;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::net::{Action, Net};
+use crate::net::{Action, Bounds, Net};
 use crate::node::{Node, Now};
 use crate::plan;
 use crate::settings::{Operator, Settings};
@@ -36,7 +38,14 @@
 
 /// Runs until killed, or until the event loop fails.
 pub fn serve(set: Settings, op: Operator) -> io::Result<()> {
-    let mut net = Net::new(set.front, set.mesh_addr, set.cluster.limits.fd_limit)?;
+    let mut vital: HashSet<SocketAddr> = set.known.iter().map(|k| k.address).collect();
+    vital.extend([set.endpoints.state, set.endpoints.cloud]);
+    let bounds = Bounds {
+        fd_limit: set.cluster.limits.fd_limit,
+        vital,
+        worker_idle: Duration::from_secs_f64(set.cluster.workers.lease_s),
+    };
+    let mut net = Net::new(set.front, set.mesh_addr, bounds)?;
     let waker = net.waker()?;
     let node = Arc::new(Mutex::new(Node::new(set, op, rand::random())));
     let desk = Arc::new((Mutex::new(Desk::default()), Condvar::new()));
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use common::{submission, Cloud, Served, StateService};
+use gaugesill::net::{Bounds, Event, Net, Outcome};
 use gaugesill::wire::{self, Orders, Piece, Report};
 
 struct World {
@@ -370,3 +371,66 @@
     drop(w);
     let _ = std::fs::remove_dir_all(&dir);
 }
+
+/// Found with a fleet half as large again: after a mass failure the leader's own
+/// calls to workers took every socket that the workers' and users' connections
+/// left. Each has its part: users make room before workers do, and calls to the
+/// state service get through however many workers are called.
+#[test]
+fn sockets_are_shared_out() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    // Accept nothing: calls to them stay in progress.
+    let dead = TcpListener::bind(any).expect("a port");
+    let vital = TcpListener::bind(any).expect("a port");
+    let bounds = Bounds {
+        fd_limit: 32,
+        vital: HashSet::from([vital.local_addr().expect("an address")]),
+        worker_idle: Duration::from_secs(3600),
+    };
+    let mut net = Net::new(front, any, bounds).expect("it listens");
+    let mut serve = |socks: &mut [TcpStream], path: &str| {
+        for s in socks.iter_mut() {
+            let text = format!("POST {path} HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+            s.write_all(text.as_bytes()).expect("it takes a request");
+        }
+        let mut left = socks.len();
+        while left > 0 {
+            for ev in net.turn(Duration::from_millis(5)).expect("a turn") {
+                if let Event::Request { conn, .. } = ev {
+                    net.answer(conn, 200, None, &[]);
+                    left -= 1;
+                }
+            }
+        }
+        socks.iter_mut().all(|s| read_message(s).is_some())
+    };
+    let open = |n: usize| -> Vec<TcpStream> {
+        let one = |_| TcpStream::connect(front).expect("a connection");
+        (0..n).map(one).collect()
+    };
+    let mut workers = open(16);
+    assert!(serve(&mut workers, "/checkin"));
+    for _ in 0..5 {
+        // Eight places are left: later users take those of earlier ones.
+        let mut users = open(8);
+        assert!(serve(&mut users, "/work"));
+    }
+    assert!(serve(&mut workers, "/checkin"), "no worker was turned out");
+    let mut unsent = 0;
+    for tag in 0..20 {
+        let to = dead.local_addr().expect("an address");
+        net.call(tag, to, "GET", "/inspect", &[], Duration::from_secs(60));
+    }
+    let to = vital.local_addr().expect("an address");
+    net.call(99, to, "GET", "/kv", &[], Duration::from_secs(60));
+    for ev in net.turn(Duration::ZERO).expect("a turn") {
+        if let Event::Reply { tag, outcome } = ev {
+            assert_eq!(outcome, Outcome::Unsent);
+            assert_ne!(tag, 99);
+            unsent += 1;
+        }
+    }
+    assert_eq!(unsent, 14);
+    vital.accept().expect("the vital call gets through");
+}
