--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -185,24 +185,38 @@
                     j.done.insert(task);
                 }
                 j.tries = 0;
+                if let Some(m) = self.fleet.get_mut(&**host) {
+                    m.failed.clear();
+                }
             }
             Cause::Error => {
+                let long = Self::ms(self.cl.workers.report_s);
+                // Whether it has shown that it can run.
+                let works = !j.done.is_empty()
+                    || j.placed
+                        .iter()
+                        .any(|p| p.running_since.is_some_and(|t| now > t + long));
                 j.shun.insert(host.clone());
-                j.tries += 1;
-                let elsewhere = j.shun.len() > 1;
-                // On a second machine the job itself is to blame: it rests,
-                // and machines are not condemned for it.
-                let wait = if elsewhere {
-                    self.cl.workers.report_s * f64::from(1u32 << j.tries.min(5))
-                } else {
-                    0.0
-                };
-                j.rest_until = now + Self::ms(wait);
-                if let Some(m) = self.fleet.get_mut(&**host) {
-                    if !elsewhere && m.leaving.is_none() {
+                let first = j.shun.len() == 1;
+                let m = self.fleet.get_mut(&**host);
+                let others = m.is_some_and(|m| {
+                    m.failed.insert(j.id.clone());
+                    let sick = first || works || m.failed.len() > 1;
+                    if sick && m.leaving.is_none() {
                         warn!("{host} failed {id}/{task}: it is drained and given back");
                         m.leaving = Some("a task failed on it");
+                        m.view = None;
                     }
+                    sick
+                });
+                // What has failed on several machines, on which nothing else
+                // has, and has never run is itself to blame: it rests, and
+                // machines are not condemned for it. Many tasks that fail
+                // together count once.
+                if !others && now >= j.rest_until {
+                    j.tries += 1;
+                    let wait = self.cl.workers.report_s * f64::from(1u32 << (j.tries - 1).min(5));
+                    j.rest_until = now + Self::ms(wait);
                 }
             }
             Cause::NoRoom | Cause::InUse | Cause::Unknown => {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Machines as their workers and the cloud's list tell of them.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -124,6 +125,8 @@
     /// came back from an end, or the answers don't reach it: until it has
     /// answered a call, it gets no work.
     pub unproven: bool,
+    /// Jobs of which a task failed here, since one was last done.
+    pub failed: BTreeSet<Arc<str>>,
     /// What the planner sees of it, as long as nothing has changed.
     pub view: Option<Arc<MachineView>>,
 }
@@ -158,6 +161,7 @@
             answered: None,
             unheeded: 0,
             unproven: false,
+            failed: BTreeSet::new(),
             view: None,
         }
     }
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -11,7 +11,7 @@
 use gaugesill::cloud::{shop, Coming, Kind, Need};
 use gaugesill::control::{Control, Effect, Seat};
 use gaugesill::front::Admission;
-use gaugesill::job::{Final, Ranges, Record, Shape, Spec, Urgency};
+use gaugesill::job::{Final, Ranges, Record, Run, Shape, Spec, Urgency};
 use gaugesill::lead::{Ask, Lead, Told};
 use gaugesill::net::Outcome;
 use gaugesill::plan::{cycle, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView};
@@ -526,6 +526,58 @@
     })
 }
 
+/// Found on a day with 150 sick machines: a job that had failed on one before
+/// was blamed for the next, so sick machines stayed for two minutes, and good
+/// jobs rested. A machine that fails several jobs is sick, and so is one that
+/// fails a job that has run elsewhere; a job that fails wherever it comes to and
+/// has never run costs one machine.
+#[test]
+fn sick_machines_and_jobs_at_fault() {
+    let mut c = control("[]");
+    let mut serial = 0;
+    let mut fails = |c: &mut Control, id: &str, task: u32| {
+        serial += 1;
+        let mut r = report(&format!("m-{task}"), serial, 2);
+        r.pieces.push(Piece {
+            piece: format!("{id}/{task}"),
+            attempt: 1,
+            status: "ended".into(),
+            cause: Some("error".into()),
+            kept: None,
+        });
+        c.report(&r, true, 1000 + serial);
+    };
+    let leaves = |c: &Control| -> Vec<bool> {
+        let m = |n| c.fleet[&format!("m-{n}")].leaving.is_some();
+        (0..4).map(m).collect()
+    };
+    for id in ["run-000001", "run-000002", "run-000003"] {
+        let mut record = Record::new(spec(Shape::Array, 9, 1.0, Urgency::Normal), 0);
+        record.runs = (0..4).map(|m| Run(m, 1, 1, format!("m-{m}"))).collect();
+        if id == "run-000003" {
+            record.done.insert(8);
+        }
+        let live = Live {
+            record: Arc::new(record),
+            stamp: 1,
+        };
+        c.job_seen(id, &live, 1000);
+    }
+    // At fault: it fails on one machine after the other.
+    fails(&mut c, "run-000001", 0);
+    fails(&mut c, "run-000001", 1);
+    fails(&mut c, "run-000001", 2);
+    assert_eq!(leaves(&c), [true, false, false, false]);
+    // Another job, which failed elsewhere before, fails there as well.
+    fails(&mut c, "run-000002", 0);
+    fails(&mut c, "run-000002", 2);
+    assert_eq!(leaves(&c), [true, false, true, false]);
+    // One that has run elsewhere.
+    fails(&mut c, "run-000003", 0);
+    fails(&mut c, "run-000003", 3);
+    assert_eq!(leaves(&c), [true, false, true, true]);
+}
+
 /// Work in proportion to change: what did not change since the last snapshot
 /// is shared with it, not copied.
 #[test]
