A successor places without the cloud's list, a leader without workers resigns sooner

(1) A new leader planned only once the cloud's list had come: with the cloud's interface down nothing began, although the machines had reported. Now it waits for a round of reports; rentals still wait for the list. (2) A leader cut off from the workers at 271 s resigned at 288.5 s, as it looked back two report intervals for a report that had reached it. One and a half are a full round: 284.5 s. (3) The largest jobs have their turn after three boot times, but at the latest after three quarters of the four minutes. Test: a_successor_places_without_the_clouds_list.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -364,6 +364,9 @@
 /// Boot times after which a job of which nothing has begun is not overtaken any
 /// more: many small jobs in time must not starve the largest.
 const OVERTAKEN_BOOTS: f64 = 3.0;
+/// However slowly machines boot: the users' rule is that the largest jobs begin
+/// within four minutes, and room has yet to come free.
+const OVERTAKEN_MAX_S: f64 = 0.75 * 240.0;
 /// An array's turn then is for this part of its tasks, one in so many.
 const TURN_PART: u32 = 4;
 /// Boot times after which a machine is not waited for any more.
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -112,8 +112,12 @@
     }
 
     /// Whether the planner may run: the picture is rebuilt as far as needed.
-    pub fn ready(&self) -> bool {
-        !self.flavors.is_empty() && self.listed_once
+    /// Machines that were heard may have work without the cloud's list, so if
+    /// that can't be had, the planner waits for a round of reports only; what is
+    /// to be rented or given up waits for the list.
+    pub fn ready(&self, now: u64) -> bool {
+        let heard = now > self.since + Self::ms(self.cl.workers.report_s);
+        !self.flavors.is_empty() && (self.listed_once || heard)
     }
 
     /// How many runs a record may hold: a run in JSON takes the name of its
@@ -414,7 +418,8 @@
             }
             let overdue = j.placed.is_empty()
                 && j.done.is_empty()
-                && now_s > j.at as f64 / 1000.0 + OVERTAKEN_BOOTS * self.boot_s();
+                && now_s
+                    > j.at as f64 / 1000.0 + (OVERTAKEN_BOOTS * self.boot_s()).min(OVERTAKEN_MAX_S);
             if overdue && !gang {
                 // Its turn is to begin, not to push all others aside.
                 want.truncate(j.spec.tasks.div_ceil(TURN_PART) as usize);
@@ -550,7 +555,7 @@
         // What an earlier leader rented last is not on the list yet, and would
         // be rented again.
         let settled = self.epoch <= 1 || now >= self.since + Self::ms(self.cl.cloud.list_lag_s);
-        if calls == 0 || !settled {
+        if calls == 0 || !settled || !self.listed_once {
             return;
         }
         let mut needs = Vec::new();
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -21,9 +21,6 @@
     /// Workers it has turned away in the last few report intervals.
     #[prost(uint32, tag = "4")]
     pub turned_away: u32,
-    /// Workers whose reports it has answered in that time.
-    #[prost(uint32, tag = "5")]
-    pub reached: u32,
 }
 
 /// A user's request that the sender can't decide.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -166,7 +166,8 @@
     peers: HashMap<String, PeerView>,
     status_next: u64,
     turned_away: BTreeMap<String, u64>,
-    reached: BTreeMap<String, u64>,
+    /// When a worker's report was last answered.
+    reached: Option<u64>,
     filling: Vec<Filling>,
     plan_at: u64,
     planning: bool,
@@ -219,7 +220,7 @@
                 .collect(),
             status_next: 0,
             turned_away: BTreeMap::new(),
-            reached: BTreeMap::new(),
+            reached: None,
             filling: vec![],
             plan_at: 0,
             planning: false,
@@ -655,7 +656,7 @@
             return None;
         }
         let c = self.control.as_mut()?;
-        if !c.ready() {
+        if !c.ready(now.steady) {
             return None;
         }
         // Room for changes on their way goes first; and a second's beat so
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -12,10 +12,14 @@
             served: self.served(),
             leads: self.control.as_ref().map_or(0, |c| c.epoch),
             turned_away: lately(&self.turned_away) as u32,
-            reached: lately(&self.reached) as u32,
         }
     }
 
+    /// Within this time every worker that can has reported.
+    fn round_ms(&self) -> u64 {
+        (self.set.cluster.workers.report_s * 1500.0) as u64
+    }
+
     pub(super) fn served(&self) -> bool {
         let now = self.now.steady;
         self.served_at
@@ -35,7 +39,9 @@
             // One machine alone may be at fault itself: it is given up first.
             if up > 0 && silent == up && (up > 1 || c.gave_up()) {
                 let away: u32 = self.live_peers().map(|p| p.status.turned_away).sum();
-                if away > 0 && self.status().reached == 0 {
+                // Any report, also an old copy, shows that there is a way here.
+                let reached = self.reached.is_some_and(|t| now < t + self.round_ms());
+                if away > 0 && !reached {
                     let rest = (self.set.cluster.workers.lease_s * 500.0) as u64;
                     self.resign("no worker gets through while others turn them away", rest);
                 }
@@ -58,7 +64,6 @@
         self.status_next = now + 1000;
         let old = 60_000;
         self.turned_away.retain(|_, t| now < *t + old);
-        self.reached.retain(|_, t| now < *t + old);
         let body = self.status().encode_to_vec();
         for p in self.set.known.clone() {
             self.call(
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -106,7 +106,7 @@
                 return self.answer(conn, 503, Some(1), vec![]);
             } else {
                 let room = c.report(&r, true, now);
-                self.reached.insert(r.host.clone(), now);
+                self.reached = Some(now);
                 if sure && room {
                     let until = now + (w.report_s * 100.0) as u64;
                     self.filling.push(Filling {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -472,6 +472,32 @@
     assert!(rents(2100));
 }
 
+/// Found by reading: a new leader that finds the cloud's interface down placed
+/// nothing until that was back, although the machines had reported.
+#[test]
+fn a_successor_places_without_the_clouds_list() {
+    let mut c = control_with("[]", "8.0");
+    let record = Record::new(spec(Shape::Gang, 2, 4.0, Urgency::Normal), 1_000_000);
+    let live = Live {
+        record: Arc::new(record),
+        stamp: 1,
+    };
+    c.job_seen("run-1", &live, 1000);
+    assert!(!c.ready(2000) && c.ready(9500));
+    let mut plan = |now: u64| {
+        let d = cycle(c.snapshot(now, 1_000_000));
+        let placed = d.places.len();
+        c.apply(d, 3, now, 1_000_000);
+        let effects = c.take_effects();
+        let rents = effects.iter().any(|e| matches!(e, Effect::Rent { .. }));
+        c.report(&report("m-1", now, 2), true, now);
+        (placed, rents)
+    };
+    // Nothing is rented: what is there already can't be known.
+    assert_eq!(plan(9500), (0, false));
+    assert_eq!(plan(9600), (1, false));
+}
+
 /// Found on a grown day: with reports every 8 s, machines were given up for
 /// their silence before most of them counted as silent, so a leader that was
 /// itself cut off wanted to give back all of them.
