Arrays go where their image is, and leave the rest to those behind them for a while

Ruled out: the records (13.6 changes a second, all that the leader may have, yet one to three wait), idle places (none). Now an array of low urgency without preemption passes over a machine that lacks its image, in favour of those behind it; it takes what none of them wants, and after the time of one fetch whatever there is. Test: arrays_go_where_their_image_is.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -134,6 +134,8 @@
     held_at: u64,
     /// When its latest places were given, or found on record.
     placed_at: u64,
+    /// Since when it has passed over machines without its image.
+    passed_at: Option<u64>,
 }
 
 impl Placed {
@@ -508,6 +510,7 @@
             holds: BTreeSet::new(),
             held_at: 0,
             placed_at: now,
+            passed_at: None,
         };
         if r.runs.is_empty() && j.over().is_some() {
             j.touch(now);
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -5,6 +5,8 @@
 
 /// Machines that one request may rent.
 const RENT_MAX: u64 = 50;
+/// For how many fetches of its image an array passes over machines without it.
+const PATIENCE_FETCHES: f64 = 1.0;
 /// A run's numbers and separators in a record, and all of a record that is
 /// not runs.
 const RUN_BYTES: f64 = 26.0;
@@ -367,9 +369,17 @@
             resting: false,
             broken: true,
             overdue: false,
+            patient: false,
         })
     }
 
+    /// How long an array waits for machines that have its image.
+    fn patience_ms(&self, j: &Job) -> u64 {
+        let rates = self.flavors.iter().map(|f| f.fetch);
+        let slowest = rates.fold(f64::INFINITY, f64::min).max(0.01);
+        Self::ms(PATIENCE_FETCHES * j.spec.image_gb / slowest)
+    }
+
     /// `wall` is the time of day in milliseconds, as job records hold it.
     pub fn snapshot(&mut self, now: u64, wall: u64) -> Snapshot {
         self.dirty = false;
@@ -435,6 +445,7 @@
                 resting: now < j.rest_until.max(j.miss_until),
                 broken: false,
                 overdue,
+                patient: !overdue && !j.passed_at.is_some_and(|t| now > t + self.patience_ms(j)),
             });
         }
         self.waiting = !jobs.is_empty();
@@ -484,6 +495,11 @@
                 j.miss_until = now + Self::ms(wait);
             }
         }
+        for id in &d.passed {
+            if let Some(j) = self.jobs.get_mut(&**id) {
+                j.passed_at.get_or_insert(now);
+            }
+        }
         for h in d.unmet.iter().flat_map(|u| &u.hosts) {
             if let Some(m) = self.fleet.get_mut(&**h) {
                 m.wanted = now;
@@ -539,6 +555,7 @@
         };
         j.misses = 0;
         j.placed_at = now;
+        j.passed_at = None;
         let attempt = j.next;
         j.next += 1;
         let ver = j.touch(now);
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -134,6 +134,9 @@
     pub broken: bool,
     /// Has waited so long without a single start that its turn has come.
     pub overdue: bool,
+    /// May still pass over a machine without its image in favour of another
+    /// job that has its own there.
+    pub patient: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -226,6 +229,8 @@
     pub holds: Vec<Hold>,
     /// Gangs without room: they back off.
     pub failed: Vec<Arc<str>>,
+    /// Arrays that passed over free machines for want of their image.
+    pub passed: Vec<Arc<str>>,
     /// Tasks for which machines would have to be had, in queue order.
     pub unmet: Vec<Unmet>,
 }
@@ -322,9 +327,23 @@
     }
 }
 
+#[derive(Default)]
 struct Picked {
     tasks: Vec<(u32, usize)>,
     victims: Vec<(usize, usize)>,
+    /// A machine with room was passed over, as it lacks the image.
+    passed: bool,
+}
+
+/// Which machines a job is tried on.
+#[derive(Clone, Copy, PartialEq)]
+enum How {
+    /// Where its image is, or is on its way.
+    Cached,
+    /// Where there is room.
+    Free,
+    /// Also where others would have to go.
+    Victims,
 }
 
 /// The snapshot with what the cycle has decided so far.
@@ -401,12 +420,18 @@
         free
     }
 
+    /// Whether its image is on a machine, or being fetched.
+    fn cached(&self, i: usize, job: &JobView) -> bool {
+        let images = &self.machines[i].images;
+        images.iter().any(|x| **x == *job.spec.image)
+    }
+
     /// Lower is better: seconds of fetching, of dearness, and a tight fit.
     /// `fetches`: another task of the job is to go there, and its image.
     fn score(&self, i: usize, job: &JobView, free: Room, fetches: bool) -> f64 {
         let m = &self.machines[i];
         let spec = &job.spec;
-        let fetch = if fetches || m.images.iter().any(|x| **x == *spec.image) {
+        let fetch = if fetches || self.cached(i, job) {
             0.0
         } else {
             spec.image_gb / m.fetch.max(0.01)
@@ -502,9 +527,11 @@
         job: &JobView,
         want: &[u32],
         zone: Option<&str>,
-        victims: bool,
+        how: How,
         least: usize,
     ) -> Option<Picked> {
+        let victims = how == How::Victims;
+        let mut passed = false;
         let need = Room::of(&job.spec);
         let within = within(&self.teams, &job.spec.team);
         let kind_ok: Vec<bool> = self
@@ -525,6 +552,10 @@
                 continue;
             }
             let f = self.free_for(i, job);
+            if how == How::Cached && !self.cached(i, job) {
+                passed |= f.fits(need);
+                continue;
+            }
             if f.fits(need) {
                 bids.push(Bid {
                     cost: self.score(i, job, f, false),
@@ -546,15 +577,15 @@
         }
         if most < least as u64 || most == 0 {
             return (least == 0).then_some(Picked {
-                tasks: vec![],
-                victims: vec![],
+                passed,
+                ..Picked::default()
             });
         }
         let cap = zone_cap(&job.spec);
         let mut zones = job.zones.clone();
         let mut out = Picked {
-            tasks: vec![],
-            victims: vec![],
+            passed,
+            ..Picked::default()
         };
         let mut taken: HashSet<(usize, usize)> = HashSet::new();
         let mut raids: Option<BinaryHeap<Bid>> = None;
@@ -627,9 +658,9 @@
         (out.tasks.len() >= least).then_some(out)
     }
 
-    fn best_fit(&self, job: &JobView, want: &[u32], victims: bool, least: usize) -> Option<Picked> {
+    fn best_fit(&self, job: &JobView, want: &[u32], how: How, least: usize) -> Option<Picked> {
         if !job.spec.one_zone {
-            return self.fit(job, want, None, victims, least);
+            return self.fit(job, want, None, how, least);
         }
         // Tasks that remain of an old attempt keep the job in their zone.
         let mut zones: Vec<&str> = match job.zones.iter().find(|z| *z.1 > 0) {
@@ -644,7 +675,7 @@
         zones.dedup();
         let mut best: Option<(usize, usize, f64, Picked)> = None;
         for z in zones {
-            let Some(p) = self.fit(job, want, Some(z), victims, least) else {
+            let Some(p) = self.fit(job, want, Some(z), how, least) else {
                 continue;
             };
             let cost: f64 = p
@@ -680,6 +711,28 @@
         }
     }
 
+    /// Tasks of a job get their places; those without one move to the end of
+    /// `want`. Tells how many have one.
+    fn settle(&mut self, job: &JobView, p: &Picked, want: &mut [u32], d: &mut Decision) -> usize {
+        if p.tasks.is_empty() {
+            return 0;
+        }
+        let placed: HashSet<u32> = p.tasks.iter().map(|x| x.0).collect();
+        want.sort_by_key(|t| !placed.contains(t));
+        self.apply(job, p);
+        let name = |i: usize| self.machines[i].name.clone();
+        let tasks = p.tasks.iter().map(|(t, i)| (*t, name(*i)));
+        // One record holds all places that a plan gives a job.
+        match d.places.iter_mut().find(|x| x.job == job.id) {
+            Some(x) => x.tasks.extend(tasks),
+            None => d.places.push(Place {
+                job: job.id.clone(),
+                tasks: tasks.collect(),
+            }),
+        }
+        p.tasks.len()
+    }
+
     /// What a gang lacks: part of it may have room already, which then is not
     /// there for the next one that asks.
     fn missing(&mut self, job: &JobView) -> Unmet {
@@ -688,7 +741,8 @@
         let mut count = job.want.len();
         let mut hosts = Vec::new();
         self.counting = true;
-        let found = self.best_fit(job, &job.want, job.broken, 0);
+        let how = if job.broken { How::Victims } else { How::Free };
+        let found = self.best_fit(job, &job.want, how, 0);
         self.counting = false;
         if let Some(p) = found {
             count -= p.tasks.len();
@@ -719,6 +773,7 @@
     let queue = order(&s);
     let jobs = std::mem::take(&mut s.jobs);
     let mut b = Board::new(s);
+    let mut passed: Vec<(&JobView, Vec<u32>)> = Vec::new();
     for job in queue.into_iter().map(|i| &jobs[i]) {
         if job.want.is_empty() {
             continue;
@@ -751,21 +806,20 @@
         let least = if gang { want.len() } else { 0 };
         let holds = b.holders.contains(&job.id);
         let mut left = want.len();
-        if let Some(p) = b.best_fit(job, &want, false, least) {
-            if !p.tasks.is_empty() {
-                // Those placed go to the front, the others stay behind them.
-                let placed: HashSet<u32> = p.tasks.iter().map(|x| x.0).collect();
-                want.sort_by_key(|t| !placed.contains(t));
-                b.apply(job, &p);
-                left -= p.tasks.len();
-                d.places.push(Place {
-                    job: job.id.clone(),
-                    tasks: p
-                        .tasks
-                        .iter()
-                        .map(|(t, i)| (*t, b.machines[*i].name.clone()))
-                        .collect(),
-                });
+        // An array goes where its image is; what else is free is for those
+        // behind it that have theirs there, and only then for it.
+        let patient = job.patient
+            && !gang
+            && job.spec.urgency == Urgency::Low
+            && !(job.spec.one_zone || job.spec.spread)
+            && !within(&b.teams, &job.spec.team);
+        let how = if patient { How::Cached } else { How::Free };
+        if let Some(p) = b.best_fit(job, &want, how, least) {
+            left -= b.settle(job, &p, &mut want, &mut d);
+            if patient && p.passed && left > 0 {
+                d.passed.push(job.id.clone());
+                passed.push((job, want.split_off(want.len() - left)));
+                continue;
             }
         }
         if left == 0 {
@@ -778,7 +832,7 @@
         // Tasks of an array are gangs of one: each may have victims.
         let rest = &want[want.len() - left..];
         if gang || within(&b.teams, &job.spec.team) || job.spec.urgency > Urgency::Low {
-            if let Some(p) = b.best_fit(job, rest, true, least) {
+            if let Some(p) = b.best_fit(job, rest, How::Victims, least) {
                 left -= p.tasks.len();
                 for (i, k) in &p.victims {
                     b.gone.insert((*i, *k));
@@ -820,5 +874,21 @@
             }
         });
     }
+    for (job, mut want) in passed {
+        let room = b.teams.get(&job.spec.team);
+        want.truncate(room.map_or(0, |t| t.allows(Room::of(&job.spec))) as usize);
+        let mut left = want.len();
+        if let Some(p) = b.best_fit(job, &want, How::Free, 0) {
+            left -= b.settle(job, &p, &mut want, &mut d);
+        }
+        if left > 0 {
+            d.unmet.push(Unmet {
+                job: job.id.clone(),
+                count: left as u32,
+                zones: job.zones.clone(),
+                hosts: vec![],
+            });
+        }
+    }
     d
 }
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -76,6 +76,7 @@
         resting: false,
         broken: false,
         overdue: false,
+        patient: false,
     }
 }
 
@@ -223,6 +224,39 @@
     assert_eq!(cycle(snapshot(vec![m1], vec![high])).places.len(), 1);
 }
 
+/// Found on a fleet's calm day: a tenth of all places fetched images, although
+/// jobs with theirs on the machine waited a little further back. An array leaves
+/// such a machine to them for a while, takes it if none does, and is not passed
+/// over for ever.
+#[test]
+fn arrays_go_where_their_image_is() {
+    let mut m = machine("m1", "a", 4.0);
+    m.images = vec!["img".into()];
+    let first = |patient| {
+        let mut s = spec(Shape::Array, 2, 4.0, Urgency::Low);
+        s.image = "other".into();
+        JobView {
+            patient,
+            ..job("first", s)
+        }
+    };
+    let second = JobView {
+        start_by: Some(90.0),
+        patient: true,
+        ..job("second", spec(Shape::Array, 1, 4.0, Urgency::Low))
+    };
+    let placed = |jobs: Vec<JobView>| {
+        let d = cycle(snapshot(vec![m.clone()], jobs));
+        let place = d.places.first().map(|p| (p.job.to_string(), p.tasks.len()));
+        (place, d.passed.len(), d.unmet.iter().map(|u| u.count).sum())
+    };
+    let one = |id: &str| Some((id.to_string(), 1));
+    let both = |patient| vec![first(patient), second.clone()];
+    assert_eq!(placed(both(true)), (one("second"), 1, 2u32));
+    assert_eq!(placed(vec![first(true)]), (one("first"), 1, 1));
+    assert_eq!(placed(both(false)), (one("first"), 0, 2));
+}
+
 #[test]
 fn zones_are_kept_to() {
     let mut one = spec(Shape::Gang, 2, 4.0, Urgency::Normal);
