A leader that still hears some machines is not cut off; the others bear witness only if most are heard

Now most of the others must be heard; and without them a report within half an interval shows that there is a way, so a zone with more than half of the machines is given up when only its own half is left to bear witness. Test: most_of_the_fleet_is_gone.

--- a/examples/size.rs
+++ b/examples/size.rs
@@ -1,8 +1,11 @@
-//! What the leader's work costs at size: a stand-in of a grown deployment's
-//! fleet and queue, the library's own code, one figure a line.
+//! What the leader's work costs at size: a stand-in of a fleet half as large
+//! again as the operators' and its queue, the library's own code, one figure a
+//! line: the steady steps, the loss of a third of the fleet at once, and a
+//! successor that starts from the records, with the memory that all of it takes.
 //!
 //! `cargo run --release --example size [MACHINES]`
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -61,11 +64,44 @@
     }
 }
 
+/// Writes what the leader wants on record.
+fn commit(c: &mut Control, kept: &mut HashMap<String, Live>, now: u64) -> Vec<Effect> {
+    let mut others = Vec::new();
+    for e in c.take_effects() {
+        match e {
+            Effect::Write {
+                job,
+                ver,
+                end,
+                writes,
+                ..
+            } => {
+                let data = writes.iter().find_map(|w| w.data.as_ref());
+                if let Some(r) = data.and_then(Record::from_value) {
+                    let record = Arc::new(r);
+                    kept.insert(job.clone(), Live { record, stamp: 11 });
+                }
+                c.committed(&job, ver, end, &Commit::Done { rev: 11 }, now);
+            }
+            e => others.push(e),
+        }
+    }
+    others
+}
+
+/// What the process holds, in MB, where the system tells.
+fn held_mb() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = text.lines().find(|l| l.starts_with("VmRSS:"))?;
+    let kb: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kb / 1024.0)
+}
+
 fn main() {
     let machines: usize = std::env::args()
         .nth(1)
         .and_then(|a| a.parse().ok())
-        .unwrap_or(1650);
+        .unwrap_or(2230);
     let Ok(cluster) = serde_json::from_str::<Cluster>(SETTINGS) else {
         eprintln!("the settings of this example can't be read");
         return;
@@ -78,7 +114,15 @@
     };
     let flavors = Arc::new(vec![flavor()]);
     let op = Operator::default();
-    let mut c = Control::new(seat, &cluster, &op, flavors, &Picture::default(), 1);
+    let mut c = Control::new(
+        seat.clone(),
+        &cluster,
+        &op,
+        flavors.clone(),
+        &Picture::default(),
+        1,
+    );
+    let mut kept: HashMap<String, Live> = HashMap::new();
     let listed: Vec<Listed> = (0..machines)
         .map(|i| Listed {
             name: format!("m-{i:06}"),
@@ -141,11 +185,7 @@
     c.apply(d, 4, now, 1_000_000);
     line("its application, with what to buy", t, 1);
     c.push(now, 10, 1000);
-    for e in c.take_effects() {
-        if let Effect::Write { job, ver, end, .. } = e {
-            c.committed(&job, ver, end, &Commit::Done { rev: 11 }, now);
-        }
-    }
+    commit(&mut c, &mut kept, now);
     let mut on: Vec<Vec<Piece>> = Vec::new();
     let t = Instant::now();
     for i in 0..machines {
@@ -207,4 +247,81 @@
         c.push(now, 10, 0);
     }
     line("looking for records to write", t, 100);
+
+    // A third of the machines falls silent, and every gang loses a member.
+    let lost = |i: usize| i % 3 == 1;
+    now += 5000;
+    let t = Instant::now();
+    for i in (0..machines).filter(|i| !lost(*i)) {
+        let mut pieces = on[i].clone();
+        for p in pieces.iter_mut().filter(|p| p.piece.len() % 2 == 0) {
+            p.status = "ended".into();
+            p.cause = Some("mates_gone".into());
+        }
+        let r = report(i, 5, pieces);
+        c.report(&r, true, now);
+        c.orders(&r, true, now);
+    }
+    line("a check-in of those left", t, machines * 2 / 3);
+    now += 14_000;
+    // What the gangs had is kept for them meanwhile.
+    let d = plan::cycle(c.snapshot(now, 1_030_000));
+    c.apply(d, 4, now, 1_030_000);
+    commit(&mut c, &mut kept, now);
+    c.witness(Some(0));
+    let t = Instant::now();
+    c.tick(now, 11, 0);
+    line("finding the silent ones", t, 1);
+    let mut calls = 0;
+    let effects = commit(&mut c, &mut kept, now);
+    let t = Instant::now();
+    for e in effects {
+        if let Effect::Delete { hosts } = e {
+            calls += 1;
+            c.deleted(&hosts, true, now);
+        }
+    }
+    line("their deletion, a call", t, calls.max(1));
+    println!("{calls} calls");
+    let t = Instant::now();
+    let s = c.snapshot(now, 1_030_000);
+    line("snapshot after it", t, 1);
+    let t = Instant::now();
+    let d = plan::cycle(s);
+    line("plan after it", t, 1);
+    let t = Instant::now();
+    c.apply(d, 4, now, 1_030_000);
+    line("its application, with what to buy", t, 1);
+    c.push(now, 12, 1000);
+    commit(&mut c, &mut kept, now);
+    if let Some(mb) = held_mb() {
+        println!("{mb:.1} MB held, records and reports of the stand-in included");
+    }
+
+    // A successor: the records, the list, a round of reports.
+    let mut picture = Picture::default();
+    picture.jobs.extend(kept);
+    let seat = Seat { epoch: 2, ..seat };
+    let t = Instant::now();
+    let mut c = Control::new(seat, &cluster, &op, flavors, &picture, now);
+    line("a successor's mind from the records", t, 1);
+    let t = Instant::now();
+    c.listed(&listed, now, now);
+    line("the cloud's list", t, 1);
+    let t = Instant::now();
+    for i in (0..machines).filter(|i| !lost(*i)) {
+        let mut r = report(i, 6, vec![]);
+        r.epoch = 2;
+        c.report(&r, true, now);
+    }
+    line("a check-in to it", t, machines * 2 / 3);
+    let t = Instant::now();
+    let s = c.snapshot(now, 1_030_000);
+    line("its first snapshot", t, 1);
+    let t = Instant::now();
+    drop(plan::cycle(s));
+    line("its first plan", t, 1);
+    if let Some(mb) = held_mb() {
+        println!("{mb:.1} MB held, with both leaders' minds");
+    }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -301,8 +301,10 @@
     upkeep_next: u64,
     /// Machines that can't be reached were given back.
     gave_up: bool,
-    /// Workers that other controllers turned away lately, if any is heard.
+    /// Workers that other controllers turned away lately, if most are heard.
     elsewhere: Option<u32>,
+    /// When any machine told something new.
+    heard_at: u64,
 }
 
 /// How often tasks of a class come, the older the less they count.
@@ -418,6 +420,7 @@
             upkeep_next: 0,
             gave_up: false,
             elsewhere: None,
+            heard_at: 0,
         };
         for (id, live) in &picture.jobs {
             c.job_seen(id, live, now);
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -25,6 +25,7 @@
         if !m.take(r, now) {
             return false;
         }
+        self.heard_at = now;
         let proves = !checkin && m.unproven;
         let woke = (was.0, was.1) != (true, m.epoch) || proves;
         if m.delete_sent.is_some() && m.leaving.is_none() {
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -39,18 +39,24 @@
     }
 
     /// What the other controllers tell: how many workers came to them lately
-    /// and were turned away; nothing if none of them can be heard.
+    /// and were turned away; nothing if too few of them can be heard.
     pub fn witness(&mut self, elsewhere: Option<u32>) {
         self.elsewhere = elsewhere;
     }
 
     /// So many machines are silent at once that it is rather this controller
-    /// that is cut off: unless the others hear nothing of them, either. Then
-    /// they are gone, or a zone of them is, and nobody waits for them.
+    /// that is cut off: surely if they came to others, and not if some are still
+    /// heard, or if the others hear nothing, either. Then they are gone, or a
+    /// zone of them is, and nobody waits for them.
     fn cut_off(&self, now: u64) -> bool {
         let (silent, up) = self.reach(now);
-        let seen = |n: u32| n as usize * SEEN_PART >= silent;
-        up >= 3 && silent * 2 > up && self.elsewhere.is_none_or(seen)
+        if up < 3 || silent * 2 <= up {
+            return false;
+        }
+        let told = |n: u32| n as usize * SEEN_PART >= silent;
+        // Of many, one reports at any time.
+        let heard = now < self.heard_at + Self::ms(self.cl.workers.report_s / 2.0);
+        self.elsewhere.map_or(!heard, told)
     }
 
     /// Whether machines that can't be reached were given back.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -307,8 +307,10 @@
         self.lead_tick();
         self.flavors_tick();
         self.mesh_tick();
-        let elsewhere = self.live_peers().map(|p| p.status.turned_away);
-        let elsewhere = elsewhere.reduce(|a, b| a.saturating_add(b));
+        // Workers may have gone to the one that is not heard.
+        let most = self.live_peers().count() * 2 > self.peers.len();
+        let away = self.live_peers().map(|p| p.status.turned_away);
+        let elsewhere = most.then(|| away.fold(0, u32::saturating_add));
         if let Some(c) = &mut self.control {
             let spare = self.queue.spare(now.steady);
             c.witness(elsewhere);
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -551,11 +551,18 @@
     let at = gives_back("8.0", Some(1)).expect("given back");
     assert!((18_000..25_000).contains(&at), "{at}");
     let mut c = busy_machines("8.0");
+    let all = |c: &mut Control, n: usize| {
+        let effects = c.take_effects();
+        let gone = |e: &Effect| matches!(e, Effect::Delete { hosts } if hosts.len() == n);
+        effects.iter().any(gone)
+    };
     c.tick(76_000, 1, 0);
-    assert!(c
-        .take_effects()
-        .iter()
-        .any(|e| matches!(e, Effect::Delete { hosts } if hosts.len() == 9)));
+    assert!(all(&mut c, 9));
+    // No other controller is heard, but one machine still is.
+    let mut c = busy_machines("8.0");
+    c.report(&report("m-0", 2, 2), true, 22_000);
+    c.tick(22_200, 1, 0);
+    assert!(all(&mut c, 8));
 }
 
 fn busy_machines(report_s: &str) -> Control {
