--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -445,7 +445,7 @@
                 resting: now < j.rest_until.max(j.miss_until),
                 broken: false,
                 overdue,
-                patient: !overdue && !j.passed_at.is_some_and(|t| now > t + self.patience_ms(j)),
+                patient: !overdue && j.passed_at.is_none_or(|t| now <= t + self.patience_ms(j)),
             });
         }
         self.waiting = !jobs.is_empty();
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -552,11 +552,12 @@
                 continue;
             }
             let f = self.free_for(i, job);
-            if how == How::Cached && !self.cached(i, job) {
-                passed |= f.fits(need);
+            let fits = f.fits(need);
+            if how == How::Cached && fits && !self.cached(i, job) {
+                passed = true;
                 continue;
             }
-            if f.fits(need) {
+            if fits {
                 bids.push(Bid {
                     cost: self.score(i, job, f, false),
                     machine: i,
@@ -571,7 +572,7 @@
                     most += u64::from(n);
                     others.push(i);
                 }
-            } else if f.fits(need) {
+            } else if fits {
                 most += u64::from(f.times(need));
             }
         }
@@ -741,8 +742,11 @@
         let mut count = job.want.len();
         let mut hosts = Vec::new();
         self.counting = true;
-        let how = if job.broken { How::Victims } else { How::Free };
-        let found = self.best_fit(job, &job.want, how, 0);
+        let mut found = self.best_fit(job, &job.want, How::Free, 0);
+        let short = |p: &Picked| p.tasks.len() < job.want.len();
+        if job.broken && found.as_ref().is_none_or(short) {
+            found = self.best_fit(job, &job.want, How::Victims, 0);
+        }
         self.counting = false;
         if let Some(p) = found {
             count -= p.tasks.len();
@@ -782,7 +786,7 @@
         let room = b.teams.get(&job.spec.team).map_or(0, |t| t.allows(need));
         let gang = job.spec.shape == Shape::Gang;
         if gang && (room as usize) < job.want.len() {
-            if !job.resting {
+            if !(job.resting || job.broken) {
                 d.failed.push(job.id.clone());
             }
             // What its team has left is not for later jobs to nibble at, or a
