--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -119,13 +119,11 @@
 const POLL_MS: u64 = 1700;
 
 /// Shares of the changes that the state service takes in a second: the leader's
-/// and each other controller's, whose bursts rarely meet. New jobs come in at a
-/// tenth of that rate, and placing them takes several changes each, so the leader
-/// has the rest; where they meet, the state service's 429 makes it wait.
+/// and each other controller's, whose bursts rarely meet.
 /// Of the requests, a follower takes a little less than an even share, and the
 /// leader, with a transaction for each group of records, what they leave.
 const FOLLOWER_REQUESTS: f64 = 0.7;
-const LEADER_WRITES: f64 = 0.88;
+const LEADER_WRITES: f64 = 0.75;
 const FOLLOWER_WRITES: f64 = 0.4;
 /// Shares of a controller's requests to the state service that may go to the
 /// watch and to reads for users.
