One way to make a job's view, an array's lack and the others' witness; no change of behaviour

A read of the whole change: a job's view for the planner stood twice with small variations, so did what an array lacks; the workers that others turned away were summed in two places, once without a bound on overflow; a comment and a name said less than they should.

--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -359,6 +359,14 @@
         }
         let want: Vec<u32> = (0..j.spec.tasks).filter(|t| !sound.contains(t)).collect();
         (!want.is_empty()).then(|| JobView {
+            broken: true,
+            ..self.job_view(j, want, zones, now_s)
+        })
+    }
+
+    /// What the planner sees of a job that has nothing special about it.
+    fn job_view(&self, j: &Job, want: Vec<u32>, zones: Zones, now_s: f64) -> JobView {
+        JobView {
             id: j.id.clone(),
             spec: j.spec.clone(),
             want,
@@ -367,10 +375,10 @@
             zones,
             shun: j.shun.clone(),
             resting: false,
-            broken: true,
+            broken: false,
             overdue: false,
             patient: false,
-        })
+        }
     }
 
     /// How long an array waits for machines that have its image.
@@ -435,17 +443,10 @@
                 want.truncate(j.spec.tasks.div_ceil(TURN_PART) as usize);
             }
             jobs.push(JobView {
-                id: j.id.clone(),
-                spec: j.spec.clone(),
-                want,
-                at_s: j.at as f64 / 1000.0,
-                start_by: self.start_by(j, now_s),
-                zones: self.zones_of(j, &strays),
-                shun: j.shun.clone(),
                 resting: now < j.rest_until.max(j.miss_until),
-                broken: false,
                 overdue,
                 patient: !overdue && j.passed_at.is_none_or(|t| now <= t + self.patience_ms(j)),
+                ..self.job_view(j, want, self.zones_of(j, &strays), now_s)
             });
         }
         self.waiting = !jobs.is_empty();
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -200,7 +200,7 @@
                 j.shun.insert(host.clone());
                 let first = j.shun.len() == 1;
                 let m = self.fleet.get_mut(&**host);
-                let others = m.is_some_and(|m| {
+                let sick = m.is_some_and(|m| {
                     m.failed.insert(j.id.clone());
                     let sick = first || works || m.failed.len() > 1;
                     if sick && m.leaving.is_none() {
@@ -214,7 +214,7 @@
                 // has, and has never run is itself to blame: it rests, and
                 // machines are not condemned for it. Many tasks that fail
                 // together count once.
-                if !others && now >= j.rest_until {
+                if !sick && now >= j.rest_until {
                     j.tries += 1;
                     let wait = self.cl.workers.report_s * f64::from(1u32 << (j.tries - 1).min(5));
                     j.rest_until = now + Self::ms(wait);
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -285,9 +285,8 @@
                 } else {
                     self.op.idle_boots
                 };
+                // Of an empty one nothing is lost even if it is our fault.
                 if silent > lost && (!cut || !m.busy() || silent > over) {
-                    // Of an empty one nothing is lost even if it is our fault.
-
                     Some(SILENT)
                 } else if (m.unheeded >= reports::UNHEEDED_MAX || self.lost_start(m, now)) && !cut {
                     Some(UNREACHED)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -308,12 +308,11 @@
         self.flavors_tick();
         self.mesh_tick();
         // Workers may have gone to the one that is not heard.
-        let most = self.live_peers().count() * 2 > self.peers.len();
-        let away = self.live_peers().map(|p| p.status.turned_away);
-        let elsewhere = most.then(|| away.fold(0, u32::saturating_add));
+        let (live, away) = self.turned_away_elsewhere();
+        let most = live * 2 > self.peers.len();
         if let Some(c) = &mut self.control {
             let spare = self.queue.spare(now.steady);
-            c.witness(elsewhere);
+            c.witness(most.then_some(away));
             c.tick(now.steady, self.picture.rev, spare);
         }
         self.list_tick();
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -38,7 +38,7 @@
             let (silent, up) = c.reach(now);
             // One machine alone may be at fault itself: it is given up first.
             if up > 0 && silent == up && (up > 1 || c.gave_up()) {
-                let away: u32 = self.live_peers().map(|p| p.status.turned_away).sum();
+                let (_, away) = self.turned_away_elsewhere();
                 // Any report, also an old copy, shows that there is a way here.
                 let reached = self.reached.is_some_and(|t| now < t + self.round_ms());
                 if away > 0 && !reached {
@@ -56,6 +56,13 @@
             .filter(move |p| p.heard.is_some_and(|t| now < t + 3000))
     }
 
+    /// How many others are heard, and how many workers they turned away lately.
+    pub(super) fn turned_away_elsewhere(&self) -> (usize, u32) {
+        self.live_peers().fold((0, 0), |(n, away), p| {
+            (n + 1, u32::saturating_add(away, p.status.turned_away))
+        })
+    }
+
     pub(super) fn mesh_tick(&mut self) {
         let now = self.now.steady;
         if now < self.status_next {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -245,6 +245,18 @@
     pub hosts: Vec<Arc<str>>,
 }
 
+impl Unmet {
+    /// Tasks of an array, each for itself.
+    fn alone(job: &JobView, count: usize) -> Unmet {
+        Unmet {
+            job: job.id.clone(),
+            count: count as u32,
+            zones: job.zones.clone(),
+            hosts: vec![],
+        }
+    }
+}
+
 /// Whether a machine is one that the job allows, other tasks aside.
 pub fn allowed(spec: &Spec, flavor: &str, zone: &str, spot: bool) -> bool {
     (spec.spot || !spot)
@@ -870,12 +882,7 @@
         d.unmet.push(if gang {
             b.missing(job)
         } else {
-            Unmet {
-                job: job.id.clone(),
-                count: left as u32,
-                zones: job.zones.clone(),
-                hosts: vec![],
-            }
+            Unmet::alone(job, left)
         });
     }
     for (job, mut want) in passed {
@@ -886,12 +893,7 @@
             left -= b.settle(job, &p, &mut want, &mut d);
         }
         if left > 0 {
-            d.unmet.push(Unmet {
-                job: job.id.clone(),
-                count: left as u32,
-                zones: job.zones.clone(),
-                hosts: vec![],
-            });
+            d.unmet.push(Unmet::alone(job, left));
         }
     }
     d
