--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -283,6 +283,8 @@
     pub jobs: BTreeMap<String, Job>,
     pub fleet: BTreeMap<String, Machine>,
     flavors: Arc<Vec<Flavor>>,
+    /// The names of kinds and zones, one copy for all machines.
+    names: Vec<Arc<str>>,
     blocked: HashMap<Kind, u64>,
     bookings: Vec<Booking>,
     next_booking: u64,
@@ -386,6 +388,12 @@
 /// same unit, so that others go with it.
 const LAZY_SHARE: f64 = 0.25;
 
+fn names(flavors: &[Flavor]) -> Vec<Arc<str>> {
+    let all = flavors.iter().flat_map(|f| f.halls.iter().chain([&f.sku]));
+    let all: BTreeSet<&String> = all.collect();
+    all.into_iter().map(|n| n.as_str().into()).collect()
+}
+
 impl Control {
     pub fn new(
         seat: Seat,
@@ -405,6 +413,7 @@
             since: now,
             jobs: BTreeMap::new(),
             fleet: BTreeMap::new(),
+            names: names(&flavors),
             flavors,
             blocked: HashMap::new(),
             bookings: vec![],
@@ -429,6 +438,7 @@
     }
 
     pub fn set_flavors(&mut self, f: Arc<Vec<Flavor>>) {
+        self.names = names(&f);
         self.flavors = f;
         for m in self.fleet.values_mut() {
             m.view = None;
@@ -537,8 +547,7 @@
         if let Some(j) = self.jobs.remove(id) {
             for p in &j.placed {
                 if let Some(m) = self.fleet.get_mut(&*p.host) {
-                    m.on.retain(|o| *o.job != *id);
-                    m.view = None;
+                    m.strike(id, None);
                 }
             }
         }
@@ -559,6 +568,7 @@
             task: p.task,
             attempt: p.attempt,
             room: Room::of(&j.spec),
+            spot: j.spec.spot,
         });
         m.idle_since = None;
         m.view = None;
@@ -576,8 +586,7 @@
         let p = j.placed.remove(k);
         j.touch(now);
         if let Some(m) = self.fleet.get_mut(&*p.host) {
-            m.on.retain(|o| o.task != task || *o.job != *id);
-            m.view = None;
+            m.strike(id, Some(task));
         }
         self.wake();
     }
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -99,9 +99,13 @@
         out
     }
 
-    /// Where a job's tasks are, with those that no record knows of.
+    /// Where a job's tasks are, with those that no record knows of, if its
+    /// places depend on that.
     fn zones_of(&self, j: &Job, strays: &HashMap<&str, Vec<Arc<str>>>) -> Zones {
         let mut zones = Zones::new();
+        if !(j.spec.one_zone || j.spec.spread) {
+            return zones;
+        }
         for p in &j.placed {
             if let Some(m) = self.fleet.get(&*p.host) {
                 *zones.entry(m.zone.clone()).or_insert(0) += 1;
@@ -138,7 +142,6 @@
         let mut tasks = 0.0;
         let mut work = 0.0;
         let mut need = Room::default();
-        let mut elsewhere = 0.0;
         let mut queue = Vec::new();
         let jobs = self.jobs.values();
         for j in jobs.filter(|j| j.spec.spot && !j.cancelled) {
@@ -147,10 +150,6 @@
             tasks += n;
             work += n * j.spec.expected_s;
             need.add(Room::of(&j.spec).scaled(n));
-            for p in &j.placed {
-                let spot = self.fleet.get(&*p.host).is_some_and(|m| m.spot);
-                elsewhere += f64::from(u8::from(!spot));
-            }
             if open > 0.0 {
                 let left = j
                     .spec
@@ -169,11 +168,23 @@
             self.flavor(flavor)
                 .map_or(0.0, |f| f64::from(cloud::room(f).times(need)))
         };
-        let machines = self.fleet.values().filter(|m| {
-            m.spot && m.leaving.is_none() && !matches!(m.listed, Listed::Failed | Listed::Gone)
-        });
-        let slots = elsewhere
-            + machines.map(|m| holds(&m.flavor)).sum::<f64>()
+        let mut elsewhere = 0;
+        let mut kinds: Vec<(&str, u32)> = Vec::new();
+        for m in self.fleet.values() {
+            if !m.spot {
+                elsewhere += m.on.iter().filter(|o| o.spot).count();
+            } else if m.leaving.is_none() && !matches!(m.listed, Listed::Failed | Listed::Gone) {
+                match kinds.iter_mut().find(|k| *k.0 == *m.flavor) {
+                    Some(k) => k.1 += 1,
+                    None => kinds.push((&m.flavor, 1)),
+                }
+            }
+        }
+        let slots = elsewhere as f64
+            + kinds
+                .iter()
+                .map(|(k, n)| holds(k) * f64::from(*n))
+                .sum::<f64>()
             + self
                 .bookings
                 .iter()
@@ -218,29 +229,25 @@
         let mut kept = HashSet::new();
         let mut missing = Vec::new();
         let boot = self.boot_s();
-        let taken: HashSet<Arc<str>> = self
-            .jobs
-            .values()
-            .filter(|j| !j.spec.spot)
-            .flat_map(|j| &j.placed)
-            .map(|p| p.host.clone())
-            .collect();
         for c in self.arrivals.values() {
             let rate = c.rate(now, boot);
             let want = (rate * boot * self.op.reserve_boots).round() as usize;
             let need = Room::of(&c.spec);
+            if want == 0 {
+                continue;
+            }
             let mut able: Vec<(usize, &Machine)> = self
                 .fleet
                 .values()
                 .filter(|m| {
                     !m.spot
                         && m.leaving.is_none()
-                        && !kept.contains(&m.name)
+                        && m.on.iter().all(|o| o.spot)
                         && plan::allowed(&c.spec, &m.flavor, &m.zone, false)
                         && self
                             .flavor(&m.flavor)
                             .is_some_and(|f| cloud::room(f).fits(need))
-                        && !taken.contains(&m.name)
+                        && !kept.contains(&m.name)
                 })
                 .map(|m| (m.images.len(), m))
                 .collect();
@@ -297,9 +304,15 @@
             .min_by(f64::total_cmp)
     }
 
+    /// One copy of a name that many machines have.
+    fn shared(&self, name: &Arc<str>) -> Arc<str> {
+        let known = self.names.iter().find(|n| *n == name);
+        known.unwrap_or(name).clone()
+    }
+
     /// What the planner sees of a machine.
     fn view(&self, m: &Machine, f: &Flavor, ago: impl Fn(u64) -> f64) -> MachineView {
-        let tasks =
+        let tasks: Vec<TaskView> =
             m.on.iter()
                 .filter_map(|o| {
                     let (j, p) = self.behind(o)?;
@@ -327,13 +340,14 @@
         }
         MachineView {
             name: m.name.clone(),
-            flavor: m.flavor.clone(),
-            zone: m.zone.clone(),
+            flavor: self.shared(&m.flavor),
+            zone: self.shared(&m.zone),
             spot: m.spot,
             total: cloud::room(f),
             free: self.free(m),
             images,
             fetch: f.fetch,
+            lowest: plan::lowest(&tasks),
             tasks,
             held: m.held.clone(),
         }
@@ -344,8 +358,11 @@
     /// now, and the room that its others leave is not given back meanwhile: one
     /// machine that falls silent would else empty all the others of its gang,
     /// just to rent them anew.
-    fn broken(&self, j: &Job, now_s: f64) -> Option<JobView> {
-        if j.cancelled {
+    fn broken(&self, j: &Job, leaving: &HashSet<&str>, now_s: f64) -> Option<JobView> {
+        let sound =
+            |p: &Placed| p.stop.is_none() && (leaving.is_empty() || !leaving.contains(&*p.host));
+        let whole = j.placed.len() == j.spec.tasks as usize;
+        if j.cancelled || (whole && j.placed.iter().all(sound)) {
             return None;
         }
         let mut zones = Zones::new();
@@ -395,25 +412,24 @@
         let ago = |t: u64| now_s - now.saturating_sub(t) as f64 / 1000.0;
         let mut machines = Vec::with_capacity(self.fleet.len());
         let mut fresh = Vec::new();
+        for m in self.fleet.values_mut() {
+            m.look_for_strays();
+        }
+        // Machines that no gang may count on: few.
+        let mut leaving: HashSet<&str> = HashSet::new();
         for (n, m) in &self.fleet {
-            if !self.placeable(m, now) {
-                continue;
+            if !m.stays() {
+                leaving.insert(n);
             }
-            let Some(f) = self.flavor(&m.flavor) else {
+            if !self.placeable(m, now) {
                 continue;
-            };
-            match &m.view {
-                Some(v) => machines.push(v.clone()),
-                None => {
-                    let v = Arc::new(self.view(m, f, ago));
-                    fresh.push((n.clone(), v.clone()));
-                    machines.push(v);
-                }
             }
-        }
-        for (n, v) in fresh {
-            if let Some(m) = self.fleet.get_mut(&n) {
-                m.view = Some(v);
+            if let Some(v) = &m.view {
+                machines.push(v.clone());
+            } else if let Some(f) = self.flavor(&m.flavor) {
+                let v = Arc::new(self.view(m, f, ago));
+                fresh.push((n.clone(), v.clone()));
+                machines.push(v);
             }
         }
         let runs_max = self.runs_max();
@@ -423,7 +439,7 @@
             let gang = j.spec.shape == Shape::Gang;
             if gang && !j.placed.is_empty() {
                 // Still there in part: the whole of it goes, then starts anew.
-                jobs.extend(self.broken(j, now_s));
+                jobs.extend(self.broken(j, &leaving, now_s));
                 continue;
             }
             let mut want = j.want(if gang {
@@ -450,6 +466,11 @@
             });
         }
         self.waiting = !jobs.is_empty();
+        for (n, v) in fresh {
+            if let Some(m) = self.fleet.get_mut(&n) {
+                m.view = Some(v);
+            }
+        }
         Snapshot {
             machines,
             jobs,
@@ -616,13 +637,16 @@
         }
         let mut coming: HashMap<Kind, u64> = HashMap::new();
         for m in self.fleet.values() {
+            if m.heard.is_some() && m.epoch >= self.epoch {
+                continue;
+            }
             // One that takes far longer than usual may never come up: another
             // is rented in its stead, and the one that comes late given back.
             let late = self
                 .flavor(&m.flavor)
                 .is_some_and(|f| now > m.known_since + Self::ms(LATE_BOOTS * f.boot_s));
             // One that was heard but does not have our token yet comes, too.
-            let fresh = m.epoch < self.epoch && m.on.is_empty() && m.reclaim_at.is_none();
+            let fresh = m.on.is_empty() && m.reclaim_at.is_none();
             let starting = m.leaving.is_none()
                 && if m.heard.is_none() {
                     !late
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -41,6 +41,7 @@
         let fresh = r.epoch >= self.epoch;
         let placeable = m.stays() && fresh;
         let mine = m.on.clone();
+        let mut pending = false;
         let mut room = !m.busy() && (woke || m.idle_since == Some(now) || r.pieces.is_empty());
         for o in mine {
             let found = self.fleet[&r.host]
@@ -103,6 +104,7 @@
                             (_, Some(Sent::Direct { tenure, .. })) => r.tenure > tenure,
                         };
                     if !proven {
+                        pending |= matches!(p.sent, Some(Sent::Direct { .. }));
                         continue;
                     }
                     // It is on record, so it may as well be started: also what
@@ -126,6 +128,10 @@
             .strays()
             .map(|t| wire::stop(task_name(&t.job, t.task), t.attempt, 0.0))
             .collect();
+        if !pending {
+            m.direct_at = None;
+        }
+        m.look_for_strays();
         m.settle_idle(self.epoch, now);
         if !strays.is_empty() {
             self.direct.entry(host).or_default().extend(strays);
@@ -298,6 +304,9 @@
             if starts.is_empty() {
                 continue;
             }
+            if let Some(m) = self.fleet.get_mut(&*host) {
+                m.direct_at = Some(now);
+            }
             let orders = starts
                 .iter()
                 .map(|s| wire::start(task_name(&s.job, s.task), s.attempt))
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -241,6 +241,9 @@
     /// for longer than its next check-ins took.
     fn lost_start(&self, m: &Machine, now: u64) -> bool {
         let wait = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
+        if m.direct_at.is_none() {
+            return false;
+        }
         m.on.iter().any(|o| {
             self.behind(o).is_some_and(|(_, p)| {
                 p.phase.is_none()
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -46,6 +46,8 @@
     pub task: u32,
     pub attempt: u64,
     pub room: Room,
+    /// Its job may use spot machines.
+    pub spot: bool,
 }
 
 impl OnRecord {
@@ -98,6 +100,9 @@
     pub tasks: Vec<OnMachine>,
     /// What the records put here, kept up to date with the jobs' places.
     pub on: Vec<OnRecord>,
+    /// A look found no strays, and neither of the two has changed since in a
+    /// way that could make one.
+    clean: bool,
     /// Room kept for gangs whose victims are still leaving.
     pub held: Vec<HeldView>,
     /// When the cloud takes it, on the steady clock.
@@ -114,6 +119,8 @@
     pub leaving: Option<&'static str>,
     pub delete_sent: Option<u64>,
     pub probed: u64,
+    /// When a start last went straight to it of which nothing is known yet.
+    pub direct_at: Option<u64>,
     /// It can't be connected to: until then nothing goes straight to it.
     pub shut_until: u64,
     pub told: Option<Told>,
@@ -145,6 +152,7 @@
             heard: None,
             tasks: vec![],
             on: vec![],
+            clean: true,
             held: vec![],
             reclaim_at: None,
             listed: Listed::Never,
@@ -156,6 +164,7 @@
             leaving: None,
             delete_sent: None,
             probed: 0,
+            direct_at: None,
             shut_until: 0,
             told: None,
             answered: None,
@@ -202,6 +211,7 @@
         }
         if tasks != self.tasks {
             self.tasks = tasks;
+            self.clean = false;
             self.view = None;
         }
         true
@@ -215,7 +225,27 @@
 
     /// Tasks that the worker has and no record puts here.
     pub fn strays(&self) -> impl Iterator<Item = &OnMachine> {
-        self.live().filter(|t| !self.on.iter().any(|o| o.is(t)))
+        let look = if self.clean { 0 } else { self.tasks.len() };
+        self.tasks[..look]
+            .iter()
+            .filter(|t| !matches!(t.phase, Phase::Ended(_)))
+            .filter(|t| !self.on.iter().any(|o| o.is(t)))
+    }
+
+    /// Remembers whether there are strays: each plan asks for all machines.
+    pub fn look_for_strays(&mut self) {
+        if !self.clean {
+            let none = self.strays().next().is_none();
+            self.clean = none;
+        }
+    }
+
+    /// A record does not put this task here any more.
+    pub fn strike(&mut self, job: &str, task: Option<u32>) {
+        self.on
+            .retain(|o| *o.job != *job || task.is_some_and(|t| t != o.task));
+        self.clean = false;
+        self.view = None;
     }
 
     /// Neither given back nor about to be taken back.
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -45,6 +45,14 @@
     pub fn fits(&self, need: Room) -> bool {
         self.cpus + EPS >= need.cpus && self.gpus + EPS >= need.gpus && self.mem + EPS >= need.mem
     }
+    /// The lesser of each.
+    fn least(self, o: Room) -> Room {
+        Room {
+            cpus: self.cpus.min(o.cpus),
+            gpus: self.gpus.min(o.gpus),
+            mem: self.mem.min(o.mem),
+        }
+    }
     /// How many such tasks fit.
     pub fn times(&self, need: Room) -> u32 {
         let part = |have: f64, need: f64| {
@@ -97,10 +105,18 @@
     pub images: Vec<Arc<str>>,
     pub fetch: f64,
     pub tasks: Vec<TaskView>,
+    /// The least urgent of them that could be stopped.
+    pub lowest: Option<Urgency>,
     /// Room kept for gangs whose victims are still leaving.
     pub held: Vec<HeldView>,
 }
 
+/// The least urgent of these tasks that could be stopped.
+pub fn lowest(tasks: &[TaskView]) -> Option<Urgency> {
+    let able = tasks.iter().filter(|t| t.stoppable);
+    able.map(|t| t.urgency).min()
+}
+
 /// Room that a gang holds on a machine.
 #[derive(Debug, Clone)]
 pub struct HeldView {
@@ -379,16 +395,23 @@
     /// Machines of one kind are alike to a job's demands.
     kinds: Vec<usize>,
     kind_of: Vec<usize>,
+    /// Machines with room for the smallest demand in the queue: on a full fleet
+    /// few. Room only shrinks within a cycle, so no other can take a task as
+    /// it is.
+    open: Vec<usize>,
 }
 
 impl Board {
-    fn new(s: Snapshot) -> Board {
+    /// `least`: no job of the queue asks for less of anything.
+    fn new(s: Snapshot, least: Room) -> Board {
         let mut kinds: Vec<usize> = Vec::new();
         let mut kind_of = Vec::with_capacity(s.machines.len());
         for (i, m) in s.machines.iter().enumerate() {
             let known = kinds.iter().position(|k| {
+                // Their names are mostly shared, which is quick to see.
+                let same = |a: &Arc<str>, b: &Arc<str>| Arc::ptr_eq(a, b) || a == b;
                 let x = &s.machines[*k];
-                x.flavor == m.flavor && x.zone == m.zone && x.spot == m.spot
+                x.spot == m.spot && same(&x.flavor, &m.flavor) && same(&x.zone, &m.zone)
             });
             kind_of.push(known.unwrap_or_else(|| {
                 kinds.push(i);
@@ -397,6 +420,9 @@
         }
         Board {
             free: s.machines.iter().map(|m| m.free).collect(),
+            open: (0..s.machines.len())
+                .filter(|i| s.machines[*i].free.fits(least))
+                .collect(),
             held: s.machines.iter().map(|m| m.held.clone()).collect(),
             holders: s
                 .machines
@@ -432,6 +458,21 @@
         free
     }
 
+    /// The machines that a look has to be taken at.
+    fn candidates(&self, how: How) -> Vec<usize> {
+        if how == How::Victims {
+            return (0..self.machines.len()).collect();
+        }
+        let mut all = self.open.clone();
+        if self.counting {
+            // Victims of others may have made room.
+            all.extend(self.promised.keys());
+            all.sort_unstable();
+            all.dedup();
+        }
+        all
+    }
+
     /// Whether its image is on a machine, or being fetched.
     fn cached(&self, i: usize, job: &JobView) -> bool {
         let images = &self.machines[i].images;
@@ -474,6 +515,13 @@
     /// The room there would be with all that may be stopped.
     fn most_room(&self, i: usize, job: &JobView, free: Room, within: bool) -> Room {
         let mut room = free;
+        if !within
+            && self.machines[i]
+                .lowest
+                .is_none_or(|u| u >= job.spec.urgency)
+        {
+            return room;
+        }
         for k in 0..self.machines[i].tasks.len() {
             if self.may_stop(i, k, job, within) {
                 room.add(self.machines[i].tasks[k].room);
@@ -559,8 +607,10 @@
         let mut bids: BinaryHeap<Bid> = BinaryHeap::new();
         let mut others: Vec<usize> = Vec::new();
         let mut most = 0u64;
-        for (i, kind) in self.kind_of.iter().enumerate() {
-            if !kind_ok[*kind] || job.shun.contains(&self.machines[i].name) {
+        for i in self.candidates(how) {
+            if !kind_ok[self.kind_of[i]]
+                || (!job.shun.is_empty() && job.shun.contains(&self.machines[i].name))
+            {
                 continue;
             }
             let f = self.free_for(i, job);
@@ -788,7 +838,12 @@
     let mut d = Decision::default();
     let queue = order(&s);
     let jobs = std::mem::take(&mut s.jobs);
-    let mut b = Board::new(s);
+    let least = queue
+        .iter()
+        .map(|i| Room::of(&jobs[*i].spec))
+        .reduce(Room::least)
+        .unwrap_or_default();
+    let mut b = Board::new(s, least);
     let mut passed: Vec<(&JobView, Vec<u32>)> = Vec::new();
     for job in queue.into_iter().map(|i| &jobs[i]) {
         if job.want.is_empty() {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -14,7 +14,9 @@
 use gaugesill::job::{Final, Ranges, Record, Run, Shape, Spec, Urgency};
 use gaugesill::lead::{Ask, Lead, Told};
 use gaugesill::net::Outcome;
-use gaugesill::plan::{cycle, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView};
+use gaugesill::plan::{
+    self, cycle, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView,
+};
 use gaugesill::settings::{Operator, Settings};
 use gaugesill::state::{Budget, Commit, Item, Queue, LEADERS, USERS};
 use gaugesill::store::{LeaderKey, Live, Picture, Seen, LEADER};
@@ -60,6 +62,7 @@
         images: vec![],
         fetch: 1.0,
         tasks: vec![],
+        lowest: None,
         held: vec![],
     }
 }
@@ -111,7 +114,14 @@
 
 fn snapshot(machines: Vec<MachineView>, jobs: Vec<JobView>) -> Snapshot {
     Snapshot {
-        machines: machines.into_iter().map(Arc::new).collect(),
+        machines: machines
+            .into_iter()
+            .map(|m| MachineView {
+                lowest: plan::lowest(&m.tasks),
+                ..m
+            })
+            .map(Arc::new)
+            .collect(),
         jobs,
         teams: HashMap::from([("t".to_string(), TeamView::default())]),
         now_s: 0.0,
