Kept connections before new ones, a short queue at the door, own lateness told from silence

Who waited was hung up on for newcomers, and machines were given back as deaf since our answers came late. Now: those that have been served go first, of newcomers six a turn; who waits for over a second is read last, who has given up not at all; the queue at the door is the standard library's; 421 hangs up; a controller that is behind asks for nothing that may come by itself, doubts no machine for what it was told late, and gives machines a whole lease.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -311,6 +311,9 @@
     elsewhere: Option<u32>,
     /// When any machine told something new.
     heard_at: u64,
+    /// When this controller was last seconds behind with what comes in.
+    behind_at: Option<u64>,
+    swamped_at: Option<u64>,
 }
 
 /// How often tasks of a class come, the older the less they count.
@@ -441,6 +444,8 @@
             gave_up: false,
             elsewhere: None,
             heard_at: 0,
+            behind_at: None,
+            swamped_at: None,
         };
         for (id, live) in &picture.jobs {
             c.job_seen(id, live, now);
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -17,6 +17,7 @@
             return false;
         }
         let lease = Self::ms(self.cl.workers.lease_s);
+        let behind = self.is_behind(now);
         let m = self
             .fleet
             .entry(r.host.clone())
@@ -32,7 +33,10 @@
             m.leaving = Some("its deletion was sent");
         }
         let answered = m.answered.is_some_and(|t| now < t + lease * 3 / 4);
-        if checkin {
+        if checkin && behind {
+            // Our answer may have come too late to be taken.
+            m.told = None;
+        } else if checkin {
             m.heed(r);
             m.unproven |= was.0 && m.tenure > was.2 && answered;
         }
@@ -291,7 +295,7 @@
     /// Starts that have no check-in to go with go straight to the workers
     /// that are known to have our token.
     pub fn direct_starts(&mut self, may_start: bool, now: u64) {
-        if !may_start {
+        if !may_start || self.swamped(now) {
             return;
         }
         for host in std::mem::take(&mut self.startable) {
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -4,6 +4,11 @@
 use super::*;
 
 const SILENT: &str = "it is silent";
+/// What comes in waits for longer: nothing is asked for that may come by itself.
+const SWAMPED_MS: u64 = 400;
+/// A worker drops an answer after 4 s: with a wait like this before a check-in is
+/// even read, that an answer shows no effect says nothing of the machine.
+const BEHIND_MS: u64 = 1500;
 const UNREACHED: &str = "what it is told does not reach it";
 /// Of the silent machines, one in so many that others turned away lately shows
 /// that the silence is ours.
@@ -38,6 +43,29 @@
         (silent, up)
     }
 
+    /// What came in waited for so long before it was read. If that is long, this
+    /// controller's lateness, and nothing of theirs, may be why machines are
+    /// silent or show no effect of what they were told.
+    pub fn fell_behind(&mut self, ms: u64, now: u64) {
+        if ms > BEHIND_MS {
+            self.behind_at = Some(now);
+        }
+        if ms > SWAMPED_MS {
+            self.swamped_at = Some(now);
+        }
+    }
+
+    pub(super) fn is_behind(&self, now: u64) -> bool {
+        let round = Self::ms(self.cl.workers.report_s * 2.0);
+        self.behind_at.is_some_and(|t| now < t + round)
+    }
+
+    /// More waits to be read right now than can be: nothing is to be asked that
+    /// may come by itself.
+    pub fn swamped(&self, now: u64) -> bool {
+        self.swamped_at.is_some_and(|t| now < t + 2 * SWAMPED_MS)
+    }
+
     /// What the other controllers tell: how many workers came to them lately
     /// and were turned away; nothing if too few of them can be heard.
     pub fn witness(&mut self, elsewhere: Option<u32>) {
@@ -256,7 +284,13 @@
     /// not reached by what we say, drained or idle.
     pub(super) fn reap(&mut self, now: u64) {
         let quiet = Self::ms(self.cl.workers.report_s * 2.5);
-        let lost = Self::ms(self.cl.workers.lease_s * self.op.lost_lease_share);
+        // One that does not keep up gives its machines their whole lease.
+        let share = if self.is_behind(now) {
+            self.op.lost_lease_share.max(1.0)
+        } else {
+            self.op.lost_lease_share
+        };
+        let lost = Self::ms(self.cl.workers.lease_s * share);
         let cut = self.cut_off(now);
         // By then nothing is left to save on them, whoever was cut off.
         let over = Self::ms(self.cl.workers.lease_s * OVER_LEASES);
@@ -346,6 +380,9 @@
     /// leader asks all that have not come by themselves soon, a part at a
     /// time, since it can't place anew before it knows.
     pub(super) fn probe(&mut self, now: u64) {
+        if self.swamped(now) {
+            return;
+        }
         let quiet = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
         let soon = Self::ms(self.cl.workers.gang_peer_s * PROBE_SHARE);
         // A call that opens a connection costs far more than a check-in, and
--- a/src/net.rs
+++ b/src/net.rs
@@ -32,6 +32,17 @@
 /// must not be late: on a small share of a processor a few hundred at once take
 /// longer than a leader's grant lasts.
 const BATCH: usize = 24;
+/// Of newcomers so many at least: those who have been served before go first, so
+/// that they stay, and a successor's fleet comes over one by one. A connection
+/// that is made anew for each request costs three times as much as one that is
+/// kept, and all of them at once more than a small share of a processor has.
+const NEW_BATCH: usize = BATCH / 4;
+/// Who has waited longer than the first is read after those who came later; and
+/// after the second, a worker's patience, is hung up on unread. Were all served
+/// in order, each would be served too late once the queue is that long, and
+/// would come back with a connection more: nobody would ever be in time again.
+const FAIR_MS: u64 = 1000;
+const PATIENCE_MS: u64 = 3900;
 const EVENTS: usize = 512;
 const SWEEP_MS: u64 = 50;
 const SWEEP_ALL_MS: u64 = 1000;
@@ -125,6 +136,10 @@
     /// Expected to serve many requests.
     lasting: bool,
     used: Instant,
+    /// It has had an answer.
+    served: bool,
+    /// Has something to read, and waits for its turn since then.
+    waits: Option<Instant>,
     eof: bool,
 }
 
@@ -141,6 +156,8 @@
             writable: !open,
             lasting: open,
             used: now,
+            served: false,
+            waits: None,
             eof: false,
         }
     }
@@ -177,8 +194,12 @@
     ready: Vec<Event>,
     /// When this turn began, for what need not be exact.
     now: Instant,
-    /// Connections with something to read whose turn has not come, in order.
+    /// Connections with something to read whose turn has not come, in order:
+    /// those that have been served before, and newcomers.
     todo: VecDeque<usize>,
+    newcomers: VecDeque<usize>,
+    /// How long the one that waited the longest did, in milliseconds.
+    waited: u64,
     /// Doors at which more may wait.
     at_front: bool,
     at_mesh: bool,
@@ -190,11 +211,19 @@
     accept_again: bool,
 }
 
+/// A door with the short queue that the standard library gives it: who waits in
+/// a long one has given up before being taken in.
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let door = std::net::TcpListener::bind(at)?;
+    door.set_nonblocking(true)?;
+    Ok(TcpListener::from_std(door))
+}
+
 impl Net {
     pub fn new(front: SocketAddr, mesh: SocketAddr, bounds: Bounds) -> io::Result<Net> {
         let poll = Poll::new()?;
-        let mut front = TcpListener::bind(front)?;
-        let mut mesh = TcpListener::bind(mesh)?;
+        let mut front = listen(front)?;
+        let mut mesh = listen(mesh)?;
         poll.registry()
             .register(&mut front, FRONT, Interest::READABLE)?;
         poll.registry()
@@ -215,6 +244,8 @@
             ready: Vec::new(),
             now: Instant::now(),
             todo: VecDeque::new(),
+            newcomers: VecDeque::new(),
+            waited: 0,
             at_front: false,
             at_mesh: false,
             buf: vec![0; READ_MAX].into_boxed_slice(),
@@ -235,7 +266,11 @@
     /// rest, whose turn comes in order.
     pub fn turn(&mut self, wait: Duration) -> io::Result<Vec<Event>> {
         let mut events = std::mem::replace(&mut self.events, Events::with_capacity(0));
-        let more = !self.ready.is_empty() || !self.todo.is_empty() || self.at_front || self.at_mesh;
+        let more = !self.ready.is_empty()
+            || !self.todo.is_empty()
+            || !self.newcomers.is_empty()
+            || self.at_front
+            || self.at_mesh;
         let wait = if more { Duration::ZERO } else { wait };
         match self.poll.poll(&mut events, Some(wait)) {
             Ok(()) => {}
@@ -255,8 +290,15 @@
                     if ev.is_readable() || ev.is_read_closed() || ev.is_error() {
                         if self.urgent(id) {
                             self.read(id);
-                        } else {
-                            self.todo.push_back(id);
+                        } else if let Some(c) = self.conns.get_mut(&id) {
+                            if c.waits.is_none() {
+                                c.waits = Some(self.now);
+                                if c.served {
+                                    self.todo.push_back(id);
+                                } else {
+                                    self.newcomers.push_back(id);
+                                }
+                            }
                         }
                     }
                 }
@@ -267,14 +309,11 @@
             self.at_mesh = self.accept(Door::Mesh, BATCH);
         }
         if self.at_front {
-            self.at_front = self.accept(Door::Front, BATCH / 2);
-        }
-        for _ in 0..BATCH {
-            let Some(id) = self.todo.pop_front() else {
-                break;
-            };
-            self.read(id);
+            let busy = self.todo.len() + self.newcomers.len() > BATCH;
+            let most = if busy { NEW_BATCH } else { BATCH };
+            self.at_front = self.accept(Door::Front, most);
         }
+        self.serve_waiting();
         let now = self.now;
         if now.duration_since(self.swept) >= Duration::from_millis(SWEEP_MS) {
             self.swept = now;
@@ -283,6 +322,56 @@
         Ok(std::mem::take(&mut self.ready))
     }
 
+    /// Reads a part of those who wait.
+    fn serve_waiting(&mut self) {
+        let done = self.serve_some(false, BATCH);
+        self.serve_some(true, (BATCH - done).max(NEW_BATCH));
+    }
+
+    /// Reads at most so many newcomers, or others; tells how many.
+    fn serve_some(&mut self, new: bool, most: usize) -> usize {
+        let mut done = 0;
+        while done < most {
+            let line = if new {
+                &mut self.newcomers
+            } else {
+                &mut self.todo
+            };
+            let Some(id) = line.front().copied() else {
+                break;
+            };
+            let Some(since) = self.conns.get(&id).and_then(|c| c.waits) else {
+                line.pop_front();
+                continue;
+            };
+            let wait = self.now.duration_since(since).as_millis() as u64;
+            self.waited = self.waited.max(wait);
+            if wait > PATIENCE_MS {
+                line.pop_front();
+                self.close(id);
+                continue;
+            }
+            let next = if wait > FAIR_MS {
+                line.pop_back()
+            } else {
+                line.pop_front()
+            };
+            let Some(id) = next else { break };
+            if let Some(c) = self.conns.get_mut(&id) {
+                c.waits = None;
+            }
+            self.read(id);
+            done += 1;
+        }
+        done
+    }
+
+    /// How long whoever waited the longest since the last look did, in
+    /// milliseconds: the measure of how far this process is behind.
+    pub fn waited(&mut self) -> u64 {
+        std::mem::take(&mut self.waited)
+    }
+
     /// Calls to `vital` addresses and what other controllers ask.
     fn urgent(&self, id: usize) -> bool {
         match self.conns.get(&id).map(|c| &c.role) {
@@ -354,11 +443,11 @@
                     busy: false,
                     worker,
                     ..
-                } => Some((worker, c.used, *id)),
+                } if !(worker && c.waits.is_some()) => Some((worker, c.used, *id)),
                 _ => None,
             })
             .min();
-        if let Some((_, _, id)) = idlest {
+        if let Some((.., id)) = idlest {
             self.close(id);
         }
     }
@@ -686,7 +775,9 @@
             return;
         }
         *busy = false;
-        if c.eof {
+        c.served = true;
+        // Whoever is sent elsewhere hangs up: one look less at who has gone.
+        if c.eof || status == 421 {
             *close = true;
         }
         let reason = match status {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -117,6 +117,8 @@
     plan_ms: u64,
     /// The longest that a tick was late.
     late_ms: u64,
+    /// The longest that anything waited to be read.
+    behind_ms: u64,
 }
 
 #[derive(Debug, Default)]
@@ -130,6 +132,7 @@
 /// Between two plans at the least, and when nothing has changed.
 const PLAN_GAP_MS: u64 = 50;
 const IDLE_PLAN_MS: u64 = 1000;
+const SWAMPED_PLAN_MS: u64 = 3000;
 /// Processor time that may be asked for at once, as after a takeover: a grant
 /// has to outlast it, however small the share.
 const STALL_CORE_S: f64 = 0.2;
@@ -332,6 +335,14 @@
         self.pump();
     }
 
+    /// What came in waited for so long before it was read.
+    pub fn behind(&mut self, now: Now, ms: u64) {
+        self.traffic.behind_ms = self.traffic.behind_ms.max(ms);
+        if let Some(c) = &mut self.control {
+            c.fell_behind(ms, now.steady);
+        }
+    }
+
     /// To be called at least as often as `wait_ms` says.
     pub fn tick(&mut self, now: Now) {
         self.now = now;
@@ -380,9 +391,9 @@
             }
             let t = std::mem::take(&mut self.traffic);
             info!(
-                "in: {} check-ins, {} users, {} peers, {} replies; calls: {} state, {} cloud, {} workers, {} mesh; {} plans in {} ms; late by {} ms",
+                "in: {} check-ins, {} users, {} peers, {} replies; calls: {} state, {} cloud, {} workers, {} mesh; {} plans in {} ms; late by {} ms, behind by {} ms",
                 t.checkins, t.users, t.peers, t.replies, t.state, t.cloud, t.workers, t.mesh,
-                t.plans, t.plan_ms, t.late_ms
+                t.plans, t.plan_ms, t.late_ms, t.behind_ms
             );
             if let Some(c) = &self.control {
                 info!("leading: {}", c.summary());
@@ -711,6 +722,10 @@
         if !c.dirty && now.steady < self.plan_at + IDLE_PLAN_MS {
             return None;
         }
+        // Check-ins that wait go first, but not for ever.
+        if c.swamped(now.steady) && now.steady < self.plan_at + SWAMPED_PLAN_MS {
+            return None;
+        }
         self.planning = true;
         self.plan_at = now.steady;
         Some(c.snapshot(now.steady, now.wall))
--- a/src/node/picture.rs
+++ b/src/node/picture.rs
@@ -91,11 +91,7 @@
         // While reads for users follow one another, they tell all that a watch
         // would, and a second copy of it is read for nothing.
         let told = now < self.barrier_next + self.read_gap_ms(USER_READS) / 2;
-        if !self.watching
-            && !told
-            && now >= self.watch_next
-            && self.requests.take(now, 1.0, 0.2)
-        {
+        if !self.watching && !told && now >= self.watch_next && self.requests.take(now, 1.0, 0.2) {
             self.watching = true;
             // Never more than so many a second, however much changes.
             self.watch_next = now + self.read_gap_ms(WATCH_READS);
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -93,6 +93,7 @@
                 }
                 n.event(now, ev);
             }
+            n.behind(now, net.waited());
             n.tick(now);
             let snapshot = n.plan_due(now).map(|s| (n.epoch(), s));
             wait = n.wait_ms(now.steady);
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -395,7 +395,10 @@
             s.write_all(text.as_bytes()).expect("it takes a request");
         }
         let mut left = socks.len();
+        let mut turns = 0;
         while left > 0 {
+            turns += 1;
+            assert!(turns < 4000, "{left} requests are never read");
             for ev in net.turn(Duration::from_millis(5)).expect("a turn") {
                 if let Event::Request { conn, .. } = ev {
                     net.answer(conn, 200, None, &[]);
