--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -132,7 +132,7 @@
 /// Between two plans at the least, and when nothing has changed.
 const PLAN_GAP_MS: u64 = 50;
 const IDLE_PLAN_MS: u64 = 1000;
-const SWAMPED_PLAN_MS: u64 = 3000;
+const SWAMPED_PLAN_MS: u64 = 1500;
 const WATCH_MS: u64 = 1000;
 const STATE_MS: u64 = 1500;
 /// A user gives up after 5 s, or 2 s for a poll.
