--- a/tests/life.rs
+++ b/tests/life.rs
@@ -4,6 +4,11 @@
 mod common;
 
 use common::{kept, submission, Sim};
+use gaugesill::mesh::{Status, STATUS_PATH};
+use gaugesill::net::{Action, Door, Event, Request};
+use gaugesill::node::{Node, Now};
+use gaugesill::settings::Operator;
+use prost::Message;
 
 fn two_jobs() -> Sim {
     let mut s = Sim::new();
@@ -740,3 +745,51 @@
         }
     }
 }
+
+/// On a small share every call counts: a controller that has just told its status
+/// is not asked for it, so of two one asks.
+#[test]
+fn of_two_controllers_one_asks() {
+    let set = common::settings(0, r#"{"name":"t"}"#);
+    let mut n = Node::new(set, Operator::default(), 1);
+    let at = |ms: u64| Now {
+        steady: ms,
+        wall: 1_000_000 + ms,
+    };
+    let asked = |n: &mut Node, ms: u64| -> Vec<String> {
+        n.tick(at(ms));
+        let calls = n.take_actions().into_iter();
+        let mut to: Vec<String> = calls
+            .filter_map(|a| match a {
+                Action::Call { to, path, .. } if path == STATUS_PATH => Some(to.to_string()),
+                _ => None,
+            })
+            .collect();
+        to.sort();
+        to
+    };
+    assert_eq!(asked(&mut n, 1), ["10.0.0.2:81", "10.0.0.3:81"]);
+    let told = Status {
+        member: "c1".into(),
+        served: true,
+        leads: 0,
+        turned_away: 0,
+    };
+    let request = Request {
+        method: "POST".into(),
+        path: STATUS_PATH.into(),
+        body: told.encode_to_vec(),
+    };
+    let conn = 1;
+    let door = Door::Mesh;
+    n.event(
+        at(1500),
+        Event::Request {
+            conn,
+            door,
+            request,
+        },
+    );
+    assert_eq!(asked(&mut n, 1700), ["10.0.0.3:81"]);
+    assert_eq!(asked(&mut n, 2800).len(), 2, "not for ever");
+}
