--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -1081,14 +1081,13 @@
 /// work that came at once. A grant outlasts that, however small the share.
 #[test]
 fn a_grant_outlasts_a_stall() {
-    let text = std::cell::RefCell::new(String::new());
     let life = |share: f64| {
-        *text.borrow_mut() = format!(
+        let text = format!(
             r#"{{"workers":{{"report_s":8,"lease_s":36,"gang_wait_s":35,"gang_peer_s":4,"cancel_s":66}},
             "state":{{"rps":9,"write_rps":9,"value_kb":16,"txn_ops":20}},"cloud":{{"rps":9,"list_lag_s":1}},
             "limits":{{"cpu_share":{share},"ram_mb":123,"fd_limit":1000}}}}"#
         );
-        let cluster = serde_json::from_str(&text.borrow()).expect("settings");
+        let cluster = serde_json::from_str(&text).expect("settings");
         life_ms(&cluster, &Operator::default())
     };
     assert_eq!(life(0.16), 2988, "a twelfth of a lease");
