Read once more: strays are the live tasks without a record, one notion of a sound place

A machine's strays filtered ended tasks by hand beside live(); broken() told twice, in two ways, which places of a gang are sound; two looks at empty sets that the sets do by themselves.

--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -359,22 +359,21 @@
     /// machine that falls silent would else empty all the others of its gang,
     /// just to rent them anew.
     fn broken(&self, j: &Job, leaving: &HashSet<&str>, now_s: f64) -> Option<JobView> {
-        let sound =
-            |p: &Placed| p.stop.is_none() && (leaving.is_empty() || !leaving.contains(&*p.host));
+        // Silence alone says nothing: it may be ours.
+        let sound = |p: &&Placed| p.stop.is_none() && !leaving.contains(&*p.host);
         let whole = j.placed.len() == j.spec.tasks as usize;
-        if j.cancelled || (whole && j.placed.iter().all(sound)) {
+        if j.cancelled || (whole && j.placed.iter().all(|p| sound(&p))) {
             return None;
         }
         let mut zones = Zones::new();
-        let mut sound = HashSet::new();
-        for p in j.placed.iter().filter(|p| p.stop.is_none()) {
-            // Silence alone says nothing: it may be ours.
-            if let Some(m) = self.fleet.get(&*p.host).filter(|m| m.stays()) {
+        let mut there = HashSet::new();
+        for p in j.placed.iter().filter(sound) {
+            if let Some(m) = self.fleet.get(&*p.host) {
                 *zones.entry(m.zone.clone()).or_insert(0) += 1;
-                sound.insert(p.task);
+                there.insert(p.task);
             }
         }
-        let want: Vec<u32> = (0..j.spec.tasks).filter(|t| !sound.contains(t)).collect();
+        let want: Vec<u32> = (0..j.spec.tasks).filter(|t| !there.contains(t)).collect();
         (!want.is_empty()).then(|| JobView {
             broken: true,
             ..self.job_view(j, want, zones, now_s)
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -225,10 +225,9 @@
 
     /// Tasks that the worker has and no record puts here.
     pub fn strays(&self) -> impl Iterator<Item = &OnMachine> {
-        let look = if self.clean { 0 } else { self.tasks.len() };
-        self.tasks[..look]
-            .iter()
-            .filter(|t| !matches!(t.phase, Phase::Ended(_)))
+        let look = (!self.clean).then(|| self.live());
+        look.into_iter()
+            .flatten()
             .filter(|t| !self.on.iter().any(|o| o.is(t)))
     }
 
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -608,9 +608,7 @@
         let mut others: Vec<usize> = Vec::new();
         let mut most = 0u64;
         for i in self.candidates(how) {
-            if !kind_ok[self.kind_of[i]]
-                || (!job.shun.is_empty() && job.shun.contains(&self.machines[i].name))
-            {
+            if !kind_ok[self.kind_of[i]] || job.shun.contains(&self.machines[i].name) {
                 continue;
             }
             let f = self.free_for(i, job);
