--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,7 +19,7 @@
     self, Decision, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView, Zones,
 };
 use crate::settings::{Cluster, Operator};
-use crate::state::Commit;
+use crate::state::{Budget, Commit};
 use crate::store::{final_key, job_key, Live, Picture, LEADER};
 use crate::wire::{self, Cond, Flavor, Order, Report, Write};
 
@@ -294,6 +294,10 @@
     effects: Vec<Effect>,
     /// Something changed that the planner should look at.
     pub dirty: bool,
+    /// The next snapshot ends all backoffs.
+    woken: bool,
+    /// Starts that may go straight to workers.
+    straight: Budget,
     /// Tasks waited for a place when the last snapshot was taken.
     waiting: bool,
     listed_once: bool,
@@ -384,6 +388,11 @@
 /// unit, and in how many parts.
 const PROBE_SHARE: f64 = 0.5;
 const PROBE_PARTS: usize = 12;
+/// Machines that a whole core asks in a second, and those that it sends starts to
+/// that have no check-in to go with; a part of one accordingly fewer. Each is a
+/// connection made for it.
+const PROBES_A_CORE: f64 = 250.0;
+const STARTS_A_CORE: f64 = 600.0;
 /// How long a change that nobody waits for may stay off the record, in the
 /// same unit, so that others go with it.
 const LAZY_SHARE: f64 = 0.25;
@@ -422,6 +431,8 @@
             startable: BTreeSet::new(),
             effects: vec![],
             dirty: true,
+            woken: false,
+            straight: Budget::new((cl.limits.cpu_share * STARTS_A_CORE).max(1.0)),
             waiting: true,
             listed_once: false,
             deletes: HashMap::new(),
@@ -594,9 +605,7 @@
     /// Room came free somewhere: gangs that back off for want of it look
     /// again.
     fn wake(&mut self) {
-        for j in self.jobs.values_mut() {
-            j.miss_until = 0;
-        }
+        self.woken = true;
         self.dirty = true;
     }
 
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -408,6 +408,11 @@
     /// `wall` is the time of day in milliseconds, as job records hold it.
     pub fn snapshot(&mut self, now: u64, wall: u64) -> Snapshot {
         self.dirty = false;
+        if std::mem::take(&mut self.woken) {
+            for j in self.jobs.values_mut() {
+                j.miss_until = 0;
+            }
+        }
         let now_s = wall as f64 / 1000.0;
         let ago = |t: u64| now_s - now.saturating_sub(t) as f64 / 1000.0;
         let mut machines = Vec::with_capacity(self.fleet.len());
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -247,6 +247,11 @@
         self.startable.contains(host)
     }
 
+    /// Whether there are any such.
+    pub fn starts_wait(&self) -> bool {
+        !self.startable.is_empty()
+    }
+
     /// The starts that are due on a machine, marked as sent.
     fn starts(&mut self, host: &str, how: Sent, now: u64) -> Vec<Start> {
         let mut out = Vec::new();
@@ -300,6 +305,11 @@
                 // Its next check-in takes them.
                 continue;
             }
+            if !self.straight.take(now, 1.0, 0.0) {
+                // A check-in may come first.
+                self.startable.insert(host);
+                continue;
+            }
             let starts = self.starts(&host, Sent::Direct { tenure, at: now }, now);
             if starts.is_empty() {
                 continue;
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -348,7 +348,12 @@
     pub(super) fn probe(&mut self, now: u64) {
         let quiet = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
         let soon = Self::ms(self.cl.workers.gang_peer_s * PROBE_SHARE);
-        let mut left = 1 + self.fleet.len() / PROBE_PARTS;
+        // A call that opens a connection costs far more than a check-in, and
+        // most machines come by themselves: on a small share of a processor a
+        // successor must not spend it all on asking.
+        let beat = self.cl.workers.gang_peer_s * UPKEEP_SHARE;
+        let able = self.cl.limits.cpu_share * PROBES_A_CORE * beat;
+        let mut left = 1 + (self.fleet.len() / PROBE_PARTS).min(able as usize);
         for m in self.fleet.values_mut() {
             let last = m.heard.unwrap_or(m.known_since).max(self.since);
             let due = now > last + quiet
--- a/src/net.rs
+++ b/src/net.rs
@@ -1,7 +1,7 @@
 //! The event loop: sockets over `mio`, HTTP/1.1 over `httparse`, as a server
 //! on two doors and as a client with kept-open connections.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,6 +12,7 @@
 
 /// Largest body that a user, worker or controller may send.
 pub const BODY_MAX: usize = 64 * 1024;
+const READ_MAX: usize = 16 * 1024;
 const HEAD_MAX: usize = 8 * 1024;
 /// The state service's watch has no size limit of its own; ours.
 const REPLY_MAX: usize = 16 * 1024 * 1024;
@@ -27,6 +28,13 @@
 const SHARES: usize = 16;
 const SERVERS: usize = 12;
 const CLIENTS: usize = 3;
+/// Connections that are read, or taken in, in a row before another look at what
+/// must not be late: on a small share of a processor a few hundred at once take
+/// longer than a leader's grant lasts.
+const BATCH: usize = 24;
+const EVENTS: usize = 512;
+const SWEEP_MS: u64 = 50;
+const SWEEP_ALL_MS: u64 = 1000;
 /// A request must be complete within this time of its first byte.
 const REQUEST_S: u64 = 10;
 const IDLE_S: u64 = 120;
@@ -112,12 +120,17 @@
     out: Vec<u8>,
     sent: usize,
     open: bool,
+    /// The poll tells of room to write.
+    writable: bool,
+    /// Expected to serve many requests.
+    lasting: bool,
     used: Instant,
     eof: bool,
 }
 
 impl Conn {
-    fn new(sock: TcpStream, role: Role, out: Vec<u8>, open: bool) -> Conn {
+    /// `open`: it was accepted; else it is being made.
+    fn new(sock: TcpStream, role: Role, out: Vec<u8>, open: bool, now: Instant) -> Conn {
         Conn {
             sock,
             role,
@@ -125,7 +138,9 @@
             out,
             sent: 0,
             open,
-            used: Instant::now(),
+            writable: !open,
+            lasting: open,
+            used: now,
             eof: false,
         }
     }
@@ -160,7 +175,18 @@
     client_max: usize,
     bounds: Bounds,
     ready: Vec<Event>,
+    /// When this turn began, for what need not be exact.
+    now: Instant,
+    /// Connections with something to read whose turn has not come, in order.
+    todo: VecDeque<usize>,
+    /// Doors at which more may wait.
+    at_front: bool,
+    at_mesh: bool,
+    buf: Box<[u8]>,
+    /// Connections with a call in progress.
+    calling: BTreeSet<usize>,
     swept: Instant,
+    swept_all: Instant,
     accept_again: bool,
 }
 
@@ -175,7 +201,7 @@
             .register(&mut mesh, MESH, Interest::READABLE)?;
         Ok(Net {
             poll,
-            events: Events::with_capacity(256),
+            events: Events::with_capacity(EVENTS),
             front,
             mesh,
             conns: HashMap::new(),
@@ -187,7 +213,14 @@
             client_max: (bounds.fd_limit * CLIENTS / SHARES).max(4),
             bounds,
             ready: Vec::new(),
+            now: Instant::now(),
+            todo: VecDeque::new(),
+            at_front: false,
+            at_mesh: false,
+            buf: vec![0; READ_MAX].into_boxed_slice(),
+            calling: BTreeSet::new(),
             swept: Instant::now(),
+            swept_all: Instant::now(),
             accept_again: false,
         })
     }
@@ -197,45 +230,72 @@
         Ok(Arc::new(Waker::new(self.poll.registry(), WAKE)?))
     }
 
-    /// Waits for at most `wait` and returns what came in.
+    /// Waits for at most `wait` and returns what came in: all from the state
+    /// service, the cloud and the other controllers, and a bounded part of the
+    /// rest, whose turn comes in order.
     pub fn turn(&mut self, wait: Duration) -> io::Result<Vec<Event>> {
         let mut events = std::mem::replace(&mut self.events, Events::with_capacity(0));
-        let wait = if self.ready.is_empty() {
-            wait
-        } else {
-            Duration::ZERO
-        };
+        let more = !self.ready.is_empty() || !self.todo.is_empty() || self.at_front || self.at_mesh;
+        let wait = if more { Duration::ZERO } else { wait };
         match self.poll.poll(&mut events, Some(wait)) {
             Ok(()) => {}
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
         }
+        self.now = Instant::now();
         for ev in events.iter() {
             match ev.token() {
                 WAKE => {}
-                FRONT => self.accept(Door::Front),
-                MESH => self.accept(Door::Mesh),
+                FRONT => self.at_front = true,
+                MESH => self.at_mesh = true,
                 Token(id) => {
                     if ev.is_writable() || ev.is_error() {
                         self.flush(id);
                     }
                     if ev.is_readable() || ev.is_read_closed() || ev.is_error() {
-                        self.read(id);
+                        if self.urgent(id) {
+                            self.read(id);
+                        } else {
+                            self.todo.push_back(id);
+                        }
                     }
                 }
             }
         }
         self.events = events;
-        let now = Instant::now();
-        if now.duration_since(self.swept) >= Duration::from_millis(50) {
+        if self.at_mesh {
+            self.at_mesh = self.accept(Door::Mesh, BATCH);
+        }
+        if self.at_front {
+            self.at_front = self.accept(Door::Front, BATCH / 2);
+        }
+        for _ in 0..BATCH {
+            let Some(id) = self.todo.pop_front() else {
+                break;
+            };
+            self.read(id);
+        }
+        let now = self.now;
+        if now.duration_since(self.swept) >= Duration::from_millis(SWEEP_MS) {
             self.swept = now;
             self.sweep(now);
         }
         Ok(std::mem::take(&mut self.ready))
     }
 
-    fn accept(&mut self, door: Door) {
-        loop {
+    /// Calls to `vital` addresses and what other controllers ask.
+    fn urgent(&self, id: usize) -> bool {
+        match self.conns.get(&id).map(|c| &c.role) {
+            Some(Role::Server { door, .. }) => *door == Door::Mesh,
+            Some(Role::Client { to, .. }) => self.bounds.vital.contains(to),
+            None => false,
+        }
+    }
+
+    /// Takes in those who wait at a door, at most `most`. True if there may be
+    /// more.
+    fn accept(&mut self, door: Door, most: usize) -> bool {
+        for _ in 0..most {
             let got = match door {
                 Door::Front => self.front.accept(),
                 Door::Mesh => self.mesh.accept(),
@@ -243,12 +303,12 @@
             let mut sock = match got {
                 Ok((s, _)) => s,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 // Out of sockets or an aborted connection: an edge is told
                 // once only, so the sweep tries again.
                 Err(_) => {
                     self.accept_again = true;
-                    return;
+                    return false;
                 }
             };
             if self.servers >= self.server_max {
@@ -257,17 +317,13 @@
                     continue;
                 }
             }
-            let _ = sock.set_nodelay(true);
+            // An answer goes out in one piece and the next request acknowledges
+            // it: nothing waits for Nagle, and nobody waits to write.
             let id = self.next;
             self.next += 1;
-            if self
-                .poll
-                .registry()
-                .register(
-                    &mut sock,
-                    Token(id),
-                    Interest::READABLE | Interest::WRITABLE,
-                )
+            let registry = self.poll.registry();
+            if registry
+                .register(&mut sock, Token(id), Interest::READABLE)
                 .is_err()
             {
                 continue;
@@ -280,9 +336,10 @@
                 close: false,
                 started: None,
             };
-            let conn = Conn::new(sock, role, Vec::new(), true);
+            let conn = Conn::new(sock, role, Vec::new(), true, self.now);
             self.conns.insert(id, conn);
         }
+        true
     }
 
     /// Makes room for a newcomer: the server connection idle the longest goes,
@@ -329,13 +386,14 @@
     }
 
     fn close(&mut self, id: usize) {
-        let Some(mut c) = self.conns.remove(&id) else {
+        // Closing a socket takes it out of the poll, too.
+        let Some(c) = self.conns.remove(&id) else {
             return;
         };
-        let _ = self.poll.registry().deregister(&mut c.sock);
         match c.role {
             Role::Server { .. } => self.servers -= 1,
             Role::Client { to, call, .. } => {
+                self.calling.remove(&id);
                 if !self.bounds.vital.contains(&to) {
                     self.clients -= 1;
                 }
@@ -358,29 +416,43 @@
         let Some(c) = self.conns.get_mut(&id) else {
             return;
         };
-        if let Role::Client { .. } = c.role {
-            if !c.open {
-                match c.sock.take_error() {
-                    Ok(None) => match c.sock.peer_addr() {
-                        Ok(_) => c.open = true,
-                        Err(e) if e.kind() == io::ErrorKind::NotConnected => return,
-                        Err(_) => return self.close(id),
-                    },
-                    _ => return self.close(id),
-                }
-            }
-        }
         while c.sent < c.out.len() {
             match c.sock.write(&c.out[c.sent..]) {
                 Ok(0) => return self.close(id),
-                Ok(n) => c.sent += n,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Ok(n) => {
+                    c.open = true;
+                    c.sent += n;
+                }
+                // The first write tells whether a connection has come about.
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    if !c.writable {
+                        c.writable = true;
+                        let both = Interest::READABLE | Interest::WRITABLE;
+                        let registry = self.poll.registry();
+                        if registry.reregister(&mut c.sock, Token(id), both).is_err() {
+                            self.close(id);
+                        }
+                    }
+                    return;
+                }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return self.close(id),
             }
         }
         c.out.clear();
         c.sent = 0;
+        if c.writable && c.lasting {
+            // Told of room to write only while it is waited for.
+            c.writable = false;
+            let registry = self.poll.registry();
+            if registry
+                .reregister(&mut c.sock, Token(id), Interest::READABLE)
+                .is_err()
+            {
+                return self.close(id);
+            }
+        }
         if let Role::Server {
             close: true,
             busy: false,
@@ -392,7 +464,6 @@
     }
 
     fn read(&mut self, id: usize) {
-        let mut buf = [0u8; 16 * 1024];
         loop {
             let Some(c) = self.conns.get_mut(&id) else {
                 return;
@@ -405,15 +476,15 @@
                 // Nobody reads on beyond what a request may be.
                 break;
             }
-            match c.sock.read(&mut buf) {
+            match c.sock.read(&mut self.buf) {
                 Ok(0) => {
                     c.eof = true;
                     break;
                 }
                 Ok(n) => {
-                    c.input.extend_from_slice(&buf[..n]);
-                    c.used = Instant::now();
-                    if n < buf.len() {
+                    c.input.extend_from_slice(&self.buf[..n]);
+                    c.used = self.now;
+                    if n < self.buf.len() {
                         // A short read empties the socket; mio's edge will
                         // tell of anything newer.
                         break;
@@ -587,8 +658,9 @@
         let body = c.input[head..total].to_vec();
         c.input.drain(..total);
         let tag = call.take();
+        self.calling.remove(&id);
         let to = *to;
-        c.used = Instant::now();
+        c.used = self.now;
         if let Some(tag) = tag {
             self.ready.push(Event::Reply {
                 tag,
@@ -643,7 +715,7 @@
         head.push_str("\r\n");
         c.out.extend_from_slice(head.as_bytes());
         c.out.extend_from_slice(body);
-        c.used = Instant::now();
+        c.used = self.now;
         self.flush(id);
         // A further request may have come in behind the first.
         if self.conns.get(&id).is_some_and(|c| !c.input.is_empty()) {
@@ -689,6 +761,7 @@
             c.out = out;
             c.sent = 0;
             c.used = now;
+            self.calling.insert(id);
             self.flush(id);
             return;
         }
@@ -705,7 +778,9 @@
             self.ready.push(fail);
             return;
         };
-        let _ = sock.set_nodelay(true);
+        if !counted {
+            let _ = sock.set_nodelay(true);
+        }
         let id = self.next;
         self.next += 1;
         if self
@@ -727,19 +802,43 @@
             deadline,
         };
         self.clients += usize::from(counted);
-        self.conns.insert(id, Conn::new(sock, role, out, false));
+        self.calling.insert(id);
+        let mut conn = Conn::new(sock, role, out, false, now);
+        conn.lasting = !counted;
+        self.conns.insert(id, conn);
     }
 
+    /// Calls are looked over often, since their time runs out in part of a
+    /// second; all the other connections, which are many, rarely.
     fn sweep(&mut self, now: Instant) {
-        let mut dead = Vec::new();
+        let mut dead: Vec<usize> = Vec::new();
+        for id in &self.calling {
+            if let Some(Role::Client { deadline, .. }) = self.conns.get(id).map(|c| &c.role) {
+                if now >= *deadline {
+                    dead.push(*id);
+                }
+            }
+        }
+        let all = now.duration_since(self.swept_all) >= Duration::from_millis(SWEEP_ALL_MS);
+        if all {
+            self.swept_all = now;
+            self.idle(now, &mut dead);
+        }
+        for id in dead {
+            self.close(id);
+        }
+        if std::mem::take(&mut self.accept_again) {
+            self.at_front = true;
+            self.at_mesh = true;
+        }
+    }
+
+    /// Connections that have been idle for too long.
+    fn idle(&self, now: Instant, dead: &mut Vec<usize>) {
         for (id, c) in &self.conns {
             let idle = now.duration_since(c.used);
             let gone = match &c.role {
-                Role::Client {
-                    call: Some(_),
-                    deadline,
-                    ..
-                } => now >= *deadline,
+                Role::Client { call: Some(_), .. } => false,
                 Role::Client { call: None, .. } => idle.as_secs() >= CLIENT_IDLE_S,
                 Role::Server { busy: true, .. } => false,
                 Role::Server {
@@ -754,12 +853,5 @@
                 dead.push(*id);
             }
         }
-        for id in dead {
-            self.close(id);
-        }
-        if std::mem::take(&mut self.accept_again) {
-            self.accept(Door::Front);
-            self.accept(Door::Mesh);
-        }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -101,6 +101,24 @@
     until: u64,
 }
 
+/// What came in and went out since the last look, for the log.
+#[derive(Debug, Default)]
+struct Traffic {
+    checkins: u64,
+    users: u64,
+    peers: u64,
+    replies: u64,
+    /// Calls to the state service, the cloud, workers and other controllers.
+    state: u64,
+    cloud: u64,
+    workers: u64,
+    mesh: u64,
+    plans: u64,
+    plan_ms: u64,
+    /// The longest that a tick was late.
+    late_ms: u64,
+}
+
 #[derive(Debug, Default)]
 struct PeerView {
     heard: Option<u64>,
@@ -112,6 +130,9 @@
 /// Between two plans at the least, and when nothing has changed.
 const PLAN_GAP_MS: u64 = 50;
 const IDLE_PLAN_MS: u64 = 1000;
+/// Processor time that may be asked for at once, as after a takeover: a grant
+/// has to outlast it, however small the share.
+const STALL_CORE_S: f64 = 0.2;
 const WATCH_MS: u64 = 1000;
 const STATE_MS: u64 = 1500;
 /// A user gives up after 5 s, or 2 s for a poll.
@@ -173,13 +194,17 @@
     planning: bool,
     tick_next: u64,
     summary_next: u64,
+    traffic: Traffic,
 }
 
 impl Node {
     pub fn new(set: Settings, op: Operator, seed: u64) -> Node {
         let c = &set.cluster;
         let n = (set.known.len() + 1) as f64;
-        let life = (c.workers.lease_s * op.leader_life_share * 1000.0) as u64;
+        let life = (c.workers.lease_s * op.leader_life_share)
+            .max(STALL_CORE_S / c.limits.cpu_share)
+            .min(c.workers.lease_s / 4.0);
+        let life = (life * 1000.0) as u64;
         Node {
             rng: StdRng::seed_from_u64(seed),
             now: Now { steady: 0, wall: 0 },
@@ -226,6 +251,7 @@
             planning: false,
             tick_next: 0,
             summary_next: 10_000,
+            traffic: Traffic::default(),
             set,
             op,
         }
@@ -259,6 +285,15 @@
         body: Vec<u8>,
         timeout_ms: u64,
     ) {
+        let t = &mut self.traffic;
+        *match &what {
+            Call::Worker { .. } => &mut t.workers,
+            Call::Status { .. } | Call::Hand { .. } => &mut t.mesh,
+            Call::Flavors | Call::List { .. } | Call::Rent { .. } | Call::Delete { .. } => {
+                &mut t.cloud
+            }
+            _ => &mut t.state,
+        } += 1;
         let tag = self.next_tag;
         self.next_tag += 1;
         self.calls.insert(tag, what);
@@ -289,6 +324,7 @@
             } => self.request(conn, door, request),
             Event::Reply { tag, outcome } => {
                 if let Some(call) = self.calls.remove(&tag) {
+                    self.traffic.replies += 1;
                     self.reply(tag, call, outcome);
                 }
             }
@@ -302,6 +338,10 @@
         if now.steady < self.tick_next {
             return;
         }
+        if self.tick_next > 0 {
+            let late = now.steady - self.tick_next;
+            self.traffic.late_ms = self.traffic.late_ms.max(late);
+        }
         self.tick_next = now.steady + 100;
         self.load_tick();
         self.lead_tick();
@@ -338,6 +378,12 @@
                     t.unknown
                 );
             }
+            let t = std::mem::take(&mut self.traffic);
+            info!(
+                "in: {} check-ins, {} users, {} peers, {} replies; calls: {} state, {} cloud, {} workers, {} mesh; {} plans in {} ms; late by {} ms",
+                t.checkins, t.users, t.peers, t.replies, t.state, t.cloud, t.workers, t.mesh,
+                t.plans, t.plan_ms, t.late_ms
+            );
             if let Some(c) = &self.control {
                 info!("leading: {}", c.summary());
             }
@@ -676,6 +722,8 @@
         // Planning takes a third of the process' time at most: on a busy fleet
         // something changes all the time.
         let took = now.steady.saturating_sub(self.plan_at);
+        self.traffic.plans += 1;
+        self.traffic.plan_ms += took;
         self.plan_at = now.steady + (2 * took).max(PLAN_GAP_MS);
         // The list and deletions need calls, too.
         let calls = self.cloud.over(now.steady, RENT_SPARE);
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// A status heard so lately need not be asked for: of two controllers one asks.
+const STATUS_FRESH_MS: u64 = 700;
+
 impl Node {
     pub(super) fn status(&self) -> Status {
         let now = self.now.steady;
@@ -73,6 +76,11 @@
         self.turned_away.retain(|_, t| now < *t + old);
         let body = self.status().encode_to_vec();
         for p in self.set.known.clone() {
+            // One that has just asked has told the same and was answered.
+            let lately = self.peers.get(&p.member).and_then(|v| v.heard);
+            if lately.is_some_and(|t| now < t + STATUS_FRESH_MS) {
+                continue;
+            }
             self.call(
                 Call::Status {
                     member: p.member.clone(),
--- a/src/node/picture.rs
+++ b/src/node/picture.rs
@@ -3,6 +3,10 @@
 
 use super::*;
 
+/// Between two reads of a sort on a whole core, at the least; on a part of one
+/// accordingly longer.
+const READ_CORE_MS: f64 = 6.0;
+
 impl Node {
     pub(super) fn load_tick(&mut self) {
         let now = self.now.steady;
@@ -74,7 +78,9 @@
     /// controller's requests.
     fn read_gap_ms(&self, share: f64) -> u64 {
         let n = (self.set.known.len() + 1) as f64;
-        (1000.0 * n / (self.set.cluster.state.rps * share)) as u64
+        let c = &self.set.cluster;
+        let gap = 1000.0 * n / (c.state.rps * share);
+        gap.max(READ_CORE_MS / c.limits.cpu_share) as u64
     }
 
     pub(super) fn watch_tick(&mut self) {
@@ -82,7 +88,14 @@
         if !self.picture.loaded {
             return;
         }
-        if !self.watching && now >= self.watch_next && self.requests.take(now, 1.0, 0.2) {
+        // While reads for users follow one another, they tell all that a watch
+        // would, and a second copy of it is read for nothing.
+        let told = now < self.barrier_next + self.read_gap_ms(USER_READS) / 2;
+        if !self.watching
+            && !told
+            && now >= self.watch_next
+            && self.requests.take(now, 1.0, 0.2)
+        {
             self.watching = true;
             // Never more than so many a second, however much changes.
             self.watch_next = now + self.read_gap_ms(WATCH_READS);
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -38,6 +38,11 @@
     }
 
     pub(super) fn request(&mut self, conn: usize, door: Door, r: Request) {
+        *match (door, r.path.as_str()) {
+            (Door::Mesh, _) => &mut self.traffic.peers,
+            (_, CHECKIN) => &mut self.traffic.checkins,
+            _ => &mut self.traffic.users,
+        } += 1;
         match door {
             Door::Mesh => match r.path.as_str() {
                 STATUS_PATH => match Status::decode(r.body.as_slice()) {
@@ -166,6 +171,12 @@
     /// are on record, or without them after a tenth of a report interval.
     pub(super) fn fill(&mut self) {
         let now = self.now.steady;
+        // They came in this order, and all wait equally long.
+        let first = self.filling.first().map(|f| f.until);
+        let starts = self.control.as_ref().is_none_or(Control::starts_wait);
+        if !starts && first.is_none_or(|t| now < t) {
+            return;
+        }
         let mut waiting = Vec::new();
         for f in std::mem::take(&mut self.filling) {
             let ready = match &self.control {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -17,13 +17,17 @@
 impl Clock {
     fn now(&self) -> Now {
         Now {
-            // From one on, so that 0 can stand for never.
-            steady: self.0.elapsed().as_millis() as u64 + 1,
+            steady: self.steady(),
             wall: SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .map_or(0, |d| d.as_millis() as u64),
         }
     }
+
+    fn steady(&self) -> u64 {
+        // From one on, so that 0 can stand for never.
+        self.0.elapsed().as_millis() as u64 + 1
+    }
 }
 
 #[derive(Default)]
@@ -80,10 +84,15 @@
         let events = net.turn(Duration::from_millis(wait))?;
         let (actions, snapshot) = {
             let mut n = lock(&node);
-            for ev in events {
-                n.event(clock.now(), ev);
+            // The steady clock is read anew before every event; the time of day,
+            // which is but noted in records, once a turn.
+            let mut now = clock.now();
+            for (i, ev) in events.into_iter().enumerate() {
+                if i > 0 {
+                    now.steady = clock.steady();
+                }
+                n.event(now, ev);
             }
-            let now = clock.now();
             n.tick(now);
             let snapshot = n.plan_due(now).map(|s| (n.epoch(), s));
             wait = n.wait_ms(now.steady);
