--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -136,6 +136,8 @@
     placed_at: u64,
     /// Since when it has passed over machines without its image.
     passed_at: Option<u64>,
+    /// How often it did not come together within its wait.
+    waits: u32,
 }
 
 impl Placed {
@@ -537,6 +539,7 @@
             held_at: 0,
             placed_at: now,
             passed_at: None,
+            waits: 0,
         };
         if r.runs.is_empty() && j.over().is_some() {
             j.touch(now);
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -170,7 +170,10 @@
             .filter_map(|m| self.flavor(&m.flavor))
             .map(|f| j.spec.image_gb / f.fetch.max(0.01))
             .fold(0.0, f64::max);
-        Self::ms(4.0 * self.cl.workers.report_s + 3.0 * slowest)
+        // Over a slow link the image may take many times as long as it should:
+        // stopped in the middle of it each time, the gang would never begin.
+        let patience = f64::from(1 + j.waits);
+        Self::ms(patience * (4.0 * self.cl.workers.report_s + 3.0 * slowest))
     }
 
     /// A gang that is still coming together: a task of it that gave up waiting
@@ -193,6 +196,7 @@
     /// silent or leaves.
     pub(super) fn gangs(&mut self, now: u64) {
         let mut stops: Vec<(Arc<str>, u32)> = Vec::new();
+        let mut waited: Vec<Arc<str>> = Vec::new();
         let mut lost: Vec<(Arc<str>, u32)> = Vec::new();
         let quiet = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
         for j in self.jobs.values() {
@@ -223,12 +227,20 @@
                     continue;
                 }
             }
+            if whole && j.placed.iter().all(|p| p.stop.is_none()) {
+                waited.push(j.id.clone());
+            }
             for p in &j.placed {
                 if p.stop.is_none() {
                     stops.push((j.id.clone(), p.task));
                 }
             }
         }
+        for id in waited {
+            if let Some(j) = self.jobs.get_mut(&*id) {
+                j.waits += 1;
+            }
+        }
         for (id, t) in stops {
             self.stop_task(&id, t, 0.0, now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! The state service's client: rate budgets and grouped transactions. What is
 //! asked for waits here until the budget allows; the most urgent goes first.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::net::Outcome;
 use crate::wire::{self, Cond, Txn, TxnReply, Write};
@@ -174,22 +174,21 @@
         }
         let mut conds: BTreeMap<String, u64> = BTreeMap::new();
         let mut writes: Vec<Write> = Vec::new();
-        // A transaction's conditions are all looked at before its writes: two
-        // changes of one key would both pass in it, and the latter undo the
-        // first, although both were told to have been made.
-        let mut written: HashSet<String> = HashSet::new();
         let mut bytes = 0;
         let mut group = Vec::new();
         for (rank, list) in self.waiting.iter_mut() {
             while let Some((b, item)) = list.front() {
                 let b = *b;
                 let ops = writes.len() + item.writes.len();
-                let clash = item.conds.iter().any(|c| {
-                    written.contains(&c.key) || conds.get(&c.key).is_some_and(|s| *s != c.stamp)
-                }) || item
-                    .writes
+                // All conditions are looked at before the writes: two changes of
+                // one key would both pass in a transaction, and the latter undo
+                // the first, although both were told to have been made. Each
+                // change has a condition on the key that it writes.
+                let clash = item
+                    .conds
                     .iter()
-                    .any(|w| conds.contains_key(w.key()) || written.contains(w.key()));
+                    .any(|c| conds.get(&c.key).is_some_and(|s| *s != c.stamp))
+                    || item.writes.iter().any(|w| conds.contains_key(w.key()));
                 let many = conds.len() + item.conds.len() > 4 * self.ops_max;
                 if !group.is_empty()
                     && (ops > self.ops_max || bytes + b > BYTES_MAX || clash || many)
@@ -212,7 +211,6 @@
                 for c in &item.conds {
                     conds.insert(c.key.clone(), c.stamp);
                 }
-                written.extend(item.writes.iter().map(|w| w.key().to_string()));
                 writes.extend(item.writes.iter().cloned());
                 bytes += b;
                 group.push((b, item));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -499,6 +499,16 @@
     },
 }
 
+/// What becomes of transactions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Writes {
+    Answered,
+    /// One in so many is carried out, and its answer is lost.
+    Unanswered(u64),
+    /// One in so many gets no answer and is carried out this much later.
+    Late(u64, u64),
+}
+
 enum Origin {
     Worker(String, u64),
     Peer(Ticket),
@@ -508,6 +518,11 @@
 pub struct Job {
     pub pieces: u32,
     pub gang: bool,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub accepted: bool,
+    /// When a task of it was first started.
+    pub begun: Option<u64>,
     pub cores: f64,
     pub run_ms: u64,
     pub cancelled_at: Option<u64>,
@@ -534,6 +549,8 @@
     conns: HashMap<usize, Origin>,
     next_conn: usize,
     pub answers: Vec<Option<UserAnswer>>,
+    /// Accepted jobs that were asked about.
+    asked: HashMap<usize, String>,
     pub jobs: BTreeMap<String, Job>,
     pub state_out: bool,
     /// Controllers that the state service does not hear.
@@ -551,6 +568,29 @@
     /// Machines whose reports arrive, but neither answers nor commands reach
     /// them.
     pub deaf: HashSet<String>,
+    /// Machines that reach no controller, while direct commands reach them.
+    pub mute: HashSet<String>,
+    /// Machines that stand still, and until when: what reaches them meanwhile is
+    /// taken in when they go on.
+    hung: HashMap<String, u64>,
+    hung_inbox: Vec<Msg>,
+    /// Controllers that the state service refuses; their watches wait.
+    pub refused: HashSet<usize>,
+    /// Controllers that get no answers to reads of the state service, and whose
+    /// grants can't be given back.
+    pub blind: HashSet<usize>,
+    /// What becomes of transactions.
+    pub writes: Writes,
+    /// What has been held up and is carried out late, and when.
+    held_writes: Vec<(u64, Msg)>,
+    txns: u64,
+    /// Parts in ten thousand by which a controller's steady clock runs fast.
+    pub fast: HashMap<usize, u64>,
+    /// A copy of every check-in is kept, and reaches every controller this long
+    /// after the next leader has begun.
+    pub copies_for_next: Option<u64>,
+    kept_copies: Vec<Msg>,
+    epoch_seen: u64,
     /// Every check-in arrives again after these times.
     pub copies_after: Vec<u64>,
     /// Controllers that stand still, and until when; their clocks run on.
@@ -598,6 +638,7 @@
             conns: HashMap::new(),
             next_conn: 1,
             answers: vec![],
+            asked: HashMap::new(),
             jobs: BTreeMap::new(),
             state_out: false,
             no_state: HashSet::new(),
@@ -607,6 +648,18 @@
             cut: HashSet::new(),
             inside: None,
             deaf: HashSet::new(),
+            mute: HashSet::new(),
+            hung: HashMap::new(),
+            hung_inbox: vec![],
+            refused: HashSet::new(),
+            blind: HashSet::new(),
+            writes: Writes::Answered,
+            held_writes: vec![],
+            txns: 0,
+            fast: HashMap::new(),
+            copies_for_next: None,
+            kept_copies: vec![],
+            epoch_seen: 0,
             copies_after: vec![],
             still: HashMap::new(),
             still_next: HashMap::new(),
@@ -625,9 +678,10 @@
         s
     }
 
-    fn clock(&self) -> Now {
+    fn clock(&self, node: usize) -> Now {
+        let fast = self.fast.get(&node).copied().unwrap_or(0);
         Now {
-            steady: self.now,
+            steady: self.now + self.now * fast / 10_000,
             wall: 1_000_000 + self.now,
         }
     }
@@ -727,6 +781,12 @@
     pub fn ask(&mut self, node: usize, method: &str, path: &str, body: Vec<u8>) -> usize {
         self.answers.push(None);
         let slot = self.answers.len() - 1;
+        if let Some(id) = path.split('/').nth(2) {
+            // What was accepted before it is asked about must be known.
+            if self.jobs.get(id).is_some_and(|j| j.accepted) {
+                self.asked.insert(slot, id.to_string());
+            }
+        }
         let conn = self.next_conn;
         self.next_conn += 1;
         self.conns.insert(conn, Origin::User(slot));
@@ -751,6 +811,10 @@
             self.jobs.entry(id).or_insert(Job {
                 pieces: spec.tasks,
                 gang: spec.shape == gaugesill::job::Shape::Gang,
+                one_zone: spec.one_zone,
+                spread: spec.spread,
+                accepted: false,
+                begun: None,
                 cores: spec.cpus,
                 run_ms,
                 cancelled_at: None,
@@ -809,7 +873,7 @@
             self.inbox.push((node, self.lives[node], ev));
             return;
         }
-        let now = self.clock();
+        let now = self.clock(node);
         if let Some(n) = &mut self.nodes[node] {
             n.event(now, ev);
         }
@@ -817,7 +881,7 @@
     }
 
     fn drain(&mut self, node: usize) {
-        let now = self.clock();
+        let now = self.clock(node);
         loop {
             let Some(n) = &mut self.nodes[node] else {
                 return;
@@ -937,6 +1001,9 @@
                 .to_string()
         };
         let (id, st) = (get("nameId"), get("status"));
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.accepted |= status == 200 || status == 201;
+        }
         if status == 503 && retry.is_none() {
             self.broken.push("a 503 without Retry-After".into());
         }
@@ -959,6 +1026,12 @@
             }
             self.told.insert(id, st);
         }
+        if status == 404 {
+            let asked = self.asked.get(&slot).cloned().unwrap_or_default();
+            if self.jobs.get(&asked).is_some_and(|j| j.accepted) {
+                self.broken.push(format!("forgotten: {asked} gets 404"));
+            }
+        }
         self.answers[slot] = Some((status, retry, body));
     }
 
@@ -993,6 +1066,9 @@
             }
         }
         self.thaw();
+        self.wake_machines();
+        self.late_writes();
+        self.next_leaders_copies();
         while let Some(e) = self.wire.first_entry() {
             if e.key().0 > self.now {
                 break;
@@ -1011,7 +1087,10 @@
             self.state.expire(self.now);
             for w in std::mem::take(&mut self.watches) {
                 let n = self.state.news(&w.under, w.from);
-                let cut = self.no_state.contains(&w.ticket.node);
+                let node = w.ticket.node;
+                let cut = self.no_state.contains(&node)
+                    || self.refused.contains(&node)
+                    || self.blind.contains(&node);
                 if cut || (n.news.is_empty() && self.now < w.until) {
                     self.watches.push(w);
                     continue;
@@ -1022,7 +1101,7 @@
         }
         if self.now % 10 == 0 {
             for i in 0..3 {
-                let now = self.clock();
+                let now = self.clock(i);
                 if self.still.contains_key(&i) {
                     continue;
                 }
@@ -1066,18 +1145,42 @@
                     });
                     return;
                 }
-                if self.state_out {
+                if self.state_out || self.refused.contains(&ticket.node) {
                     let outcome = Outcome::Answer {
                         status: 503,
                         body: vec![],
                     };
                     return self.respond(2, ticket, outcome);
                 }
+                if self.blind.contains(&ticket.node) && matches!(method, "GET" | "DELETE") {
+                    return;
+                }
+                let mut answered = true;
+                if path == "/txn" {
+                    self.txns += 1;
+                    match self.writes {
+                        Writes::Unanswered(n) => answered = self.txns % n != 0,
+                        Writes::Late(n, ms) if self.txns % n == 0 => {
+                            let m = Msg::State {
+                                ticket,
+                                method,
+                                path,
+                                body,
+                            };
+                            self.held_writes.push((self.now + ms, m));
+                            return;
+                        }
+                        _ => {}
+                    }
+                }
                 match self.state.handle(method, &path, &body, self.now) {
                     Served::Now(status, body) => {
                         for c in std::mem::take(&mut self.state.commits) {
                             self.note(c);
                         }
+                        if !answered {
+                            return;
+                        }
                         let outcome = Outcome::Answer { status, body };
                         self.respond(2, ticket, outcome);
                     }
@@ -1107,6 +1210,15 @@
                 path,
                 body,
             } => {
+                if self.hung.contains_key(&host) {
+                    self.hung_inbox.push(Msg::Worker {
+                        ticket,
+                        host,
+                        path,
+                        body,
+                    });
+                    return;
+                }
                 if self.apart(ticket.node, &host)
                     || self.deaf.contains(&host)
                     || !self.workers.contains_key(&host)
@@ -1177,6 +1289,20 @@
                     });
                     return;
                 }
+                if self.mute.contains(&host) && !copy {
+                    return;
+                }
+                if self.copies_for_next.is_some() && !copy {
+                    for to in 0..3 {
+                        self.kept_copies.push(Msg::Checkin {
+                            host: host.clone(),
+                            serial,
+                            to,
+                            body: body.clone(),
+                            copy: true,
+                        });
+                    }
+                }
                 if !copy {
                     // To every controller: also to one that leads by then.
                     for (after, to) in self
@@ -1227,8 +1353,73 @@
         }
     }
 
+    /// A machine stands still, and goes on after this time.
+    pub fn hang(&mut self, host: &str, ms: u64) {
+        self.hung.insert(host.to_string(), self.now + ms);
+        self.note(format!("{host} hangs"));
+    }
+
+    fn wake_machines(&mut self) {
+        let now = self.now;
+        let awake: Vec<String> = self
+            .hung
+            .iter()
+            .filter(|h| now >= *h.1)
+            .map(|h| h.0.clone())
+            .collect();
+        for host in awake {
+            self.hung.remove(&host);
+            self.note(format!("{host} goes on"));
+            for m in std::mem::take(&mut self.hung_inbox) {
+                match &m {
+                    Msg::Worker { host: h, .. } if *h == host => self.send(1, m),
+                    _ => self.hung_inbox.push(m),
+                }
+            }
+        }
+    }
+
+    fn late_writes(&mut self) {
+        for (at, m) in std::mem::take(&mut self.held_writes) {
+            match m {
+                Msg::State {
+                    method, path, body, ..
+                } if self.now >= at && !self.state_out => {
+                    // Nobody waits for the answer any more.
+                    self.state.handle(method, &path, &body, self.now);
+                    for c in std::mem::take(&mut self.state.commits) {
+                        self.note(format!("late: {c}"));
+                    }
+                }
+                m => self.held_writes.push((at, m)),
+            }
+        }
+    }
+
+    fn next_leaders_copies(&mut self) {
+        let Some(after) = self.copies_for_next else {
+            return;
+        };
+        let epochs = self.nodes.iter().flatten().map(Node::epoch);
+        let epoch = epochs.max().unwrap_or(0);
+        if epoch > self.epoch_seen {
+            self.epoch_seen = epoch;
+            let kept = std::mem::take(&mut self.kept_copies);
+            // The latest of each machine, and one from well before.
+            let n = kept.len();
+            for (i, m) in kept.into_iter().enumerate() {
+                if i % 7 < 3 || i + 30 > n {
+                    self.send(after, m);
+                }
+            }
+        }
+    }
+
     fn worker_answer(&mut self, host: &str, serial: u64, from: usize, status: u16, body: &[u8]) {
         let now = self.now;
+        if self.hung.contains_key(host) {
+            return;
+        }
         let Some(w) = self.workers.get_mut(host) else {
             return;
         };
@@ -1338,6 +1529,23 @@
         if j.cancelled_at.is_some_and(|t| now > t + 60_000) {
             self.broken.push(format!("ran_cancelled: {piece} started"));
         }
+        let mut halls: BTreeMap<&str, u32> = BTreeMap::new();
+        for (h, w) in &self.workers {
+            let of_job =
+                |t: &&OnWorker| t.state != "ended" && t.name.starts_with(&format!("{id}/"));
+            let n = w.tasks.iter().filter(of_job).count() + usize::from(h == host);
+            if let Some(m) = self.cloud.machines.get(h).filter(|_| n > 0) {
+                *halls.entry(&m.hall).or_insert(0) += n as u32;
+            }
+        }
+        let most = halls.values().max().copied().unwrap_or(0);
+        if (j.one_zone && halls.len() > 1) || (j.spread && most > j.pieces.div_ceil(2)) {
+            self.broken
+                .push(format!("wrong_place: {piece} in {halls:?}"));
+        }
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.begun.get_or_insert(now);
+        }
         let pull = self.slow_pull.get(host).copied().unwrap_or(1000);
         if let Some(w) = self.workers.get_mut(host) {
             w.tasks.push(OnWorker {
@@ -1413,6 +1621,18 @@
         }
         let mut out = Vec::new();
         for w in self.workers.values_mut() {
+            if self.hung.contains_key(&w.host) {
+                // Its tasks stand still, too, and count as there.
+                for t in w.tasks.iter_mut().filter(|t| t.state != "ended") {
+                    t.until += 10;
+                    let (id, _) = t.name.rsplit_once('/').expect("name");
+                    let cancelled = self.jobs.get(id).and_then(|j| j.cancelled_at);
+                    if cancelled.is_some_and(|c| now > c + 60_000) {
+                        self.broken.push(format!("ran_cancelled: {}", t.name));
+                    }
+                }
+                continue;
+            }
             if now > w.acked + 36_000 {
                 w.killed += w.tasks.iter().filter(|t| t.state != "ended").count() as u64;
                 w.tasks.clear();
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -10,7 +10,7 @@
 use ciborium::{cbor, Value};
 use gaugesill::cloud::{shop, Coming, Kind, Need};
 use gaugesill::control::{Control, Effect, Seat};
-use gaugesill::fleet::OnRecord;
+use gaugesill::fleet::{OnRecord, Phase};
 use gaugesill::front::Admission;
 use gaugesill::job::{Final, Ranges, Record, Run, Shape, Spec, Urgency};
 use gaugesill::lead::{life_ms, Ask, Lead, Told};
@@ -693,6 +693,210 @@
     assert_eq!(c.snapshot(2000, 1_001_000).machines.len(), 1);
 }
 
+fn piece(name: &str, attempt: u64, status: &str, cause: Option<&str>) -> Piece {
+    Piece {
+        piece: name.into(),
+        attempt,
+        status: status.into(),
+        cause: cause.map(Into::into),
+        kept: None,
+    }
+}
+
+fn reports(serial: u64, epoch: u64, pieces: Vec<Piece>) -> Report {
+    Report {
+        pieces,
+        ..report("m-0", serial, epoch)
+    }
+}
+
+/// A successor's mind: `tasks` of run-1, an array or a gang, on m-0 under attempt 1.
+fn successor(shape: Shape, tasks: u32) -> Control {
+    let mut c = control("[]");
+    let mut record = Record::new(spec(shape, tasks, 1.0, Urgency::Low), 1_000_000);
+    record.runs = vec![Run(0, tasks, 1, "m-0".into())];
+    record.next = 2;
+    let live = Live {
+        record: Arc::new(record),
+        stamp: 1,
+    };
+    c.job_seen("run-1", &live, 1000);
+    c
+}
+
+/// A task gave up waiting for its gang, was cleared and started again under its
+/// attempt; then the leader changed. A copy of the report of its first end is no
+/// proof that it is not there: it shows an older token than ours.
+#[test]
+fn a_report_from_before_a_second_start() {
+    let mut c = successor(Shape::Array, 1);
+    for (serial, pieces) in [
+        (3, vec![piece("run-1/0", 1, "ended", Some("alone"))]),
+        // Nor is one of the moment at which it was cleared.
+        (4, vec![]),
+        (5, vec![piece("run-1/0", 1, "ended", Some("alone"))]),
+    ] {
+        let r = reports(serial, 1, pieces);
+        c.report(&r, true, 1200);
+        assert_eq!(c.jobs["run-1"].placed.len(), 1, "{r:?}");
+        assert_eq!(c.orders(&r, true, 1200), [], "nothing to be forgotten");
+    }
+    let r = reports(9, 2, vec![piece("run-1/0", 1, "running", None)]);
+    c.report(&r, true, 1500);
+    assert_eq!(c.jobs["run-1"].placed[0].phase, Some(Phase::Running));
+    // With our token the end counts.
+    let r = reports(10, 2, vec![piece("run-1/0", 1, "ended", Some("alone"))]);
+    c.report(&r, true, 2500);
+    assert!(c.jobs["run-1"].placed.is_empty());
+}
+
+/// A worker answers a direct question while the answer that clears a task and starts
+/// it again under its attempt is still on its way to it: what it says of the first
+/// end says nothing of the second start.
+#[test]
+fn a_question_overtakes_a_second_start() {
+    let mut c = successor(Shape::Gang, 1);
+    let alone = || vec![piece("run-1/0", 1, "ended", Some("alone"))];
+    let r = reports(3, 2, alone());
+    c.report(&r, true, 1500);
+    let verbs: Vec<String> = c
+        .orders(&r, true, 1500)
+        .into_iter()
+        .map(|o| o.verb)
+        .collect();
+    assert_eq!(verbs, ["clear", "start"]);
+    // By now the gang's wait is over, so an end would be one.
+    c.report(&reports(4, 2, alone()), false, 400_000);
+    assert_eq!(c.jobs["run-1"].placed.len(), 1);
+    c.report(&reports(5, 2, alone()), true, 400_100);
+    assert!(c.jobs["run-1"].placed.is_empty(), "a later check-in tells");
+}
+
+/// An answer showed no effect once, and then there was nothing more to tell: the
+/// doubt ends when the same session has outlasted a lease.
+#[test]
+fn a_doubt_does_not_last_for_ever() {
+    let mut c = successor(Shape::Array, 1);
+    let runs = || vec![piece("run-1/0", 1, "running", None)];
+    let mut gone = runs();
+    gone.push(piece("run-7/0", 1, "ended", Some("stopped")));
+    let r = reports(1, 2, gone.clone());
+    c.report(&r, true, 2000);
+    assert_eq!(c.orders(&r, true, 2000).len(), 1, "told to forget it");
+    c.report(&reports(2, 2, gone), true, 5000);
+    let able = |c: &mut Control, now| !c.snapshot(now, 1_000_000 + now).machines.is_empty();
+    assert!(!able(&mut c, 5000), "the answer showed no effect");
+    for n in 0..16 {
+        let now = 8000 + 3000 * n;
+        c.report(&reports(3 + n, 2, runs()), true, now);
+        assert_eq!(able(&mut c, now), now > 5000 + 39_000, "{now}");
+    }
+}
+
+/// What fails everywhere rests, but not for ever longer, and then may go to any
+/// machine again.
+#[test]
+fn rests_and_shunned_machines_end() {
+    let mut c = control("[]");
+    for n in 0..9 {
+        c.report(&report(&format!("m-{n}"), 1, 2), true, 1000);
+    }
+    let live = Live {
+        record: Arc::new(Record::new(
+            spec(Shape::Array, 1, 8.0, Urgency::Normal),
+            1_000_000,
+        )),
+        stamp: 1,
+    };
+    c.job_seen("run-1", &live, 1000);
+    let mut now = 1000;
+    for n in 0..9u64 {
+        let host = format!("m-{n}");
+        c.report(&report(&host, 3 * n + 2, 2), true, now);
+        let d = plan::Decision {
+            places: vec![plan::Place {
+                job: "run-1".into(),
+                tasks: vec![(0, host.as_str().into())],
+            }],
+            ..Default::default()
+        };
+        c.apply(d, 0, now, 1_000_000 + now);
+        let attempt = c.jobs["run-1"].placed[0].attempt;
+        let pieces = vec![piece("run-1/0", attempt, "ended", Some("error"))];
+        let r = Report {
+            pieces,
+            ..report(&host, 3 * n + 3, 2)
+        };
+        c.report(&r, true, now);
+        let ready = |c: &mut Control, t: u64| !c.snapshot(t, 1_000_000 + t).jobs[0].resting;
+        assert!(ready(&mut c, now + 36_100), "after {n} failures");
+        let s = c.snapshot(now + 73_000, 1_073_000 + now);
+        assert!(s.jobs[0].shun.is_empty());
+        now += 37_000;
+    }
+}
+
+/// A successor finds a task on a machine of which it knows no more than the name:
+/// until it knows the zone, it places no more of a job that keeps to zones.
+#[test]
+fn an_unknown_zone_may_be_any() {
+    let mut c = control("[]");
+    let mut spread = spec(Shape::Array, 4, 1.0, Urgency::Low);
+    spread.spread = true;
+    let mut record = Record::new(spread, 1_000_000);
+    record.runs = vec![Run(0, 2, 1, "m-0".into())];
+    record.next = 2;
+    let live = Live {
+        record: Arc::new(record),
+        stamp: 1,
+    };
+    c.job_seen("run-1", &live, 1000);
+    c.report(&report("m-1", 1, 2), true, 1500);
+    assert!(c.snapshot(1500, 1_001_500).jobs.is_empty());
+    let runs = |n| piece(&format!("run-1/{n}"), 1, "running", None);
+    c.report(&reports(1, 2, vec![runs(0), runs(1)]), true, 1600);
+    let s = c.snapshot(1600, 1_001_600);
+    assert_eq!(s.jobs[0].zones.get("a"), Some(&2));
+    let d = cycle(s);
+    assert!(d.places.is_empty(), "zone a holds half of it");
+}
+
+/// What a machine alone knows to be done is on record before it is given back: if the
+/// leader ended in between, the work would be done again.
+#[test]
+fn a_machine_stays_until_its_result_is_on_record() {
+    let mut c = successor(Shape::Array, 2);
+    let runs = |n: u32| piece(&format!("run-1/{n}"), 1, "running", None);
+    c.report(&reports(1, 2, vec![runs(0), runs(1)]), true, 1500);
+    let done = || piece("run-1/0", 1, "ended", Some("done"));
+    let stopped = piece("run-1/1", 1, "ended", Some("stopped"));
+    c.report(&reports(2, 2, vec![done(), stopped]), true, 2000);
+    // The state service does not answer for a minute.
+    let mut writes = Vec::new();
+    for n in 0..60 {
+        let now = 3000 + 1000 * n;
+        c.report(&reports(3 + n, 2, vec![done()]), true, now);
+        c.tick(now, 0, 9);
+        for e in c.take_effects() {
+            match e {
+                Effect::Write { ver, .. } => writes.push(ver),
+                Effect::Delete { hosts } => panic!("{hosts:?} given back at {now}"),
+                _ => {}
+            }
+        }
+    }
+    let ver = *writes.last().expect("a change");
+    c.committed("run-1", ver, None, &Commit::Done { rev: 9 }, 63_000);
+    c.report(&reports(90, 2, vec![]), true, 63_500);
+    let back = (0..200).any(|n| {
+        c.tick(64_000 + 400 * n, 0, 9);
+        c.report(&reports(91 + n, 2, vec![]), true, 64_000 + 400 * n);
+        let effects = c.take_effects();
+        effects.iter().any(|e| matches!(e, Effect::Delete { .. }))
+    });
+    assert!(back, "then it is idle");
+}
+
 #[test]
 fn ranges() {
     let mut r = Ranges::default();
@@ -708,7 +912,7 @@
 fn records_survive_the_state_service() {
     let mut r = Record::new(spec(Shape::Array, 100_000, 4.0, Urgency::Low), 17);
     r.done.insert(7);
-    r.runs.push(gaugesill::job::Run(0, 3, 5, "m-000001".into()));
+    r.runs.push(Run(0, 3, 5, "m-000001".into()));
     let bytes = wire::encode(&r.to_value());
     let v: Value = wire::decode(&bytes).expect("a value");
     assert_eq!(Record::from_value(&v), Some(r));
