--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -402,6 +402,10 @@
 
     /// The picture was read anew: whoever waited for that goes on.
     pub(super) fn users_fresh(&mut self) {
+        if !self.picture.loaded {
+            // It is being read anew, and lacks what is on later pages.
+            return;
+        }
         let fresh = self.fresh.map_or(0, |f| f.turn);
         let rev_now = self.picture.rev;
         let ready: Vec<u64> = self
