Jobs that need others, a format version, packed records, limits that fall

A submission may name jobs that have to be done before it starts. What it is told follows from its dependencies until its own record says so (deps.rs). The format is raised once all of the settings' controllers have made themselves known below g/l/m/, or by the first submission with dependencies, or a refusal for a lower limit (node/version.rs). From then on records are packed (packed.rs) and the lower limits of state.next are kept.

--- a/examples/size.rs
+++ b/examples/size.rs
@@ -46,6 +46,7 @@
         checkpoint_s: 20.0,
         save_s: 3.0,
         due_s: (!gang).then_some(125.0),
+        needs: vec![],
     }
 }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,11 +14,11 @@
 
 use crate::cloud::{self, Coming, Kind, Need};
 use crate::fleet::{Cause, Expect, Listed, Machine, OnRecord, Phase, Told};
-use crate::job::{task_name, Final, Ranges, Record, Run, Shape, Spec};
+use crate::job::{json_len, task_name, Final, Ranges, Record, Run, Shape, Spec, Urgency, PACKED};
 use crate::plan::{
     self, Decision, HeldView, JobView, MachineView, Room, Snapshot, TaskView, TeamView, Zones,
 };
-use crate::settings::{Cluster, Operator};
+use crate::settings::{Cluster, Operator, StateLimits};
 use crate::state::{Budget, Commit};
 use crate::store::{final_key, job_key, Live, Picture, LEADER};
 use crate::wire::{self, Cond, Flavor, Order, Report, Write};
@@ -103,8 +103,18 @@
 #[derive(Debug)]
 pub struct Job {
     id: Arc<str>,
+    /// As asked for, but with the urgency of the most urgent job that needs it.
     pub spec: Arc<Spec>,
+    own_urgency: Urgency,
     pub at: u64,
+    /// Not all that it needs is known to be done: it holds nothing and asks for
+    /// nothing.
+    waits: bool,
+    /// Time of day from which its aims count: since when it could have started.
+    ready_at: u64,
+    /// When it has to be done for those that need it to meet their deadlines, in
+    /// seconds of the time of day.
+    due_at: Option<f64>,
     pub cancelled: bool,
     next: u64,
     pub done: Ranges,
@@ -137,7 +147,7 @@
     /// Since when it has passed over machines without its image.
     passed_at: Option<u64>,
     /// How often it did not come together within its wait.
-    waits: u32,
+    scattered: u32,
 }
 
 impl Placed {
@@ -192,7 +202,7 @@
     }
 
     fn open(&self) -> u64 {
-        if self.cancelled {
+        if self.cancelled || self.waits {
             return 0;
         }
         u64::from(self.spec.tasks).saturating_sub(self.done.len() + self.placed.len() as u64)
@@ -235,8 +245,10 @@
                 _ => runs.push(Run(p.task, 1, p.attempt, p.host.to_string())),
             }
         }
+        let mut spec = (*self.spec).clone();
+        spec.urgency = self.own_urgency;
         Record {
-            spec: (*self.spec).clone(),
+            spec,
             at: self.at,
             cancelled: self.cancelled,
             next: self.next,
@@ -283,6 +295,10 @@
     op: Operator,
     since: u64,
     pub jobs: BTreeMap<String, Job>,
+    /// Live jobs that need another one, by that.
+    needed_by: HashMap<String, Vec<Arc<str>>>,
+    /// The form in which records are written.
+    format: u64,
     pub fleet: BTreeMap<String, Machine>,
     flavors: Arc<Vec<Flavor>>,
     /// The names of kinds and zones, one copy for all machines.
@@ -426,6 +442,8 @@
             op: op.clone(),
             since: now,
             jobs: BTreeMap::new(),
+            needed_by: HashMap::new(),
+            format: 0,
             fleet: BTreeMap::new(),
             names: names(&flavors),
             flavors,
@@ -451,10 +469,90 @@
         };
         for (id, live) in &picture.jobs {
             c.job_seen(id, live, now);
+            if !picture.deps.waits(id) {
+                // Since when is not on record.
+                c.needs_met(id, c.wall);
+            }
+            if picture.deps.has_fallen(id) {
+                c.called_off(id, now);
+            }
         }
         c
     }
 
+    /// Records are written in another form, within other limits.
+    pub fn set_format(&mut self, format: u64, limits: &StateLimits) {
+        self.format = format;
+        self.cl.state = limits.clone();
+    }
+
+    /// All that a job needs is done, and that is on record.
+    pub fn needs_met(&mut self, id: &str, at: u64) {
+        if let Some(j) = self.jobs.get_mut(id).filter(|j| j.waits) {
+            debug!("{id} is ready");
+            j.waits = false;
+            j.ready_at = j.at.max(at);
+            self.wake();
+        }
+    }
+
+    /// A job takes its place among those that need one another. What a job needs is as
+    /// urgent as itself, and due in time for its own run: so the deadline of a chain's
+    /// last job, whenever it comes, orders all before it by what is left of the
+    /// critical path.
+    fn link(&mut self, id: &str) {
+        let Some(j) = self.jobs.get(id) else { return };
+        let mut todo: Vec<Arc<str>> = self.needed_by.get(id).cloned().unwrap_or_default();
+        if !j.spec.needs.is_empty() {
+            todo.push(j.id.clone());
+            for n in &j.spec.needs {
+                let list = self.needed_by.entry(n.clone()).or_default();
+                list.push(j.id.clone());
+            }
+        }
+        while let Some(x) = todo.pop() {
+            let Some(j) = self.jobs.get(&*x) else {
+                continue;
+            };
+            let spec = j.spec.clone();
+            let own = spec.due_s.map(|d| j.at as f64 / 1000.0 + d);
+            let due = [own, j.due_at].into_iter().flatten().reduce(f64::min);
+            let due = due.map(|d| d - spec.expected_s);
+            for n in &spec.needs {
+                let Some(a) = self.jobs.get_mut(n) else {
+                    continue;
+                };
+                let sooner = due.is_some_and(|d| a.due_at.is_none_or(|x| d < x));
+                if sooner {
+                    a.due_at = due;
+                }
+                if a.spec.urgency < spec.urgency {
+                    Arc::make_mut(&mut a.spec).urgency = spec.urgency;
+                    for p in &a.placed {
+                        if let Some(m) = self.fleet.get_mut(&*p.host) {
+                            m.view = None;
+                        }
+                    }
+                } else if !sooner {
+                    continue;
+                }
+                todo.push(a.id.clone());
+                self.dirty = true;
+            }
+        }
+    }
+
+    fn unlink(&mut self, j: &Job) {
+        for n in &j.spec.needs {
+            if let Some(list) = self.needed_by.get_mut(n) {
+                list.retain(|x| *x != j.id);
+                if list.is_empty() {
+                    self.needed_by.remove(n);
+                }
+            }
+        }
+    }
+
     pub fn set_flavors(&mut self, f: Arc<Vec<Flavor>>) {
         self.names = names(&f);
         self.flavors = f;
@@ -515,7 +613,12 @@
         let mut j = Job {
             id: id.into(),
             spec,
+            own_urgency: r.spec.urgency,
             at: r.at,
+            // What has begun had all that it needs.
+            waits: !r.spec.needs.is_empty() && r.runs.is_empty() && r.done.is_empty(),
+            ready_at: r.at,
+            due_at: None,
             cancelled: r.cancelled,
             next: r.next,
             done: r.done.clone(),
@@ -539,12 +642,13 @@
             held_at: 0,
             placed_at: now,
             passed_at: None,
-            waits: 0,
+            scattered: 0,
         };
         if r.runs.is_empty() && j.over().is_some() {
             j.touch(now);
         }
         self.jobs.insert(id.to_string(), j);
+        self.link(id);
         for Run(first, count, attempt, host) in &r.runs {
             let host: Arc<str> = host.as_str().into();
             for task in *first..first.saturating_add(*count).min(r.spec.tasks) {
@@ -569,6 +673,7 @@
     pub fn job_gone(&mut self, id: &str) {
         self.drop_holds(id);
         if let Some(j) = self.jobs.remove(id) {
+            self.unlink(&j);
             for p in &j.placed {
                 if let Some(m) = self.fleet.get_mut(&*p.host) {
                     m.strike(id, None);
@@ -790,7 +895,10 @@
                     Write::drop(job_key(&id)),
                     Write::set(final_key(&id), f.to_value()),
                 ],
-                None => vec![Write::set(job_key(&id), j.record(self.epoch).to_value())],
+                None => {
+                    let record = j.record(self.epoch).to_value(self.format);
+                    vec![Write::set(job_key(&id), record)]
+                }
             };
             j.flying = Some(j.ver);
             j.flying_done = j.done.clone();
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -11,6 +11,11 @@
 /// not runs.
 const RUN_BYTES: f64 = 26.0;
 const REST_BYTES: f64 = 2000.0;
+/// The least that a packed run takes, the numbers and marks that it may take beside a
+/// name, and what a record's counters may grow by.
+const PACKED_RUN_BYTES: f64 = 4.0;
+const LONGEST_RUN_BYTES: usize = 16;
+const COUNTERS_BYTES: usize = 40;
 
 impl Control {
     /// Whether new work may go to a machine. It must have been heard with our
@@ -73,6 +78,9 @@
             let n = j.placed.len() as f64;
             t.cpus += j.spec.cpus * n;
             t.gpus += j.spec.gpus * n;
+            if j.waits {
+                continue;
+            }
             let left = (u64::from(j.spec.tasks) - j.done.len()) as f64;
             t.ask_cpus += j.spec.cpus * left;
             t.ask_gpus += j.spec.gpus * left;
@@ -131,8 +139,12 @@
     }
 
     /// How many runs a record may hold: a run in JSON takes the name of its
-    /// machine, three numbers and what is between them.
+    /// machine, three numbers and what is between them. Packed ones are as short as
+    /// they happen to be; what fits is measured when it is placed.
     pub(super) fn runs_max(&self) -> usize {
+        if self.format >= PACKED {
+            return (self.cl.state.value_kb * 1024.0 / PACKED_RUN_BYTES) as usize;
+        }
         let name = self.fleet.keys().map(String::len).max().unwrap_or(16);
         let run = name as f64 + RUN_BYTES;
         ((self.cl.state.value_kb * 1024.0 - REST_BYTES) / run).max(4.0) as usize
@@ -148,7 +160,7 @@
         let mut need = Room::default();
         let mut queue = Vec::new();
         let jobs = self.jobs.values();
-        for j in jobs.filter(|j| j.spec.spot && !j.cancelled) {
+        for j in jobs.filter(|j| j.spec.spot && !j.cancelled && !j.waits) {
             let open = j.open() as f64;
             let n = open + j.placed.len() as f64;
             tasks += n;
@@ -240,6 +252,10 @@
             if want == 0 {
                 continue;
             }
+            let holds = |m: &Machine| {
+                let f = self.flavor(&m.flavor);
+                f.map_or(0, |f| cloud::room(f).times(need) as usize)
+            };
             let mut able: Vec<(usize, &Machine)> = self
                 .fleet
                 .values()
@@ -248,25 +264,29 @@
                         && m.leaving.is_none()
                         && m.on.iter().all(|o| o.spot)
                         && plan::allowed(&c.spec, &m.flavor, &m.zone, false)
-                        && self
-                            .flavor(&m.flavor)
-                            .is_some_and(|f| cloud::room(f).fits(need))
+                        && holds(m) > 0
                         && !kept.contains(&m.name)
                 })
                 .map(|m| (m.images.len(), m))
                 .collect();
             // The more images are there already, the sooner work begins.
             able.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.name.cmp(&b.1.name)));
-            if want > able.len() {
+            let mut there = 0;
+            for (_, m) in able {
+                if there >= want {
+                    break;
+                }
+                there += holds(m);
+                kept.insert(m.name.clone());
+            }
+            if want > there {
                 missing.push(Need {
                     spec: c.spec.clone(),
-                    count: (want - able.len()) as u32,
+                    count: (want - there) as u32,
                     zones: Zones::new(),
                     dear: 0.0,
                 });
             }
-            let want = want.min(able.len());
-            kept.extend(able[..want].iter().map(|m| m.1.name.clone()));
         }
         (kept, missing)
     }
@@ -280,18 +300,22 @@
     /// yet lost.
     pub(super) fn start_by(&self, j: &Job, now_s: f64) -> Option<f64> {
         let at = j.at as f64 / 1000.0;
+        let ready = j.ready_at as f64 / 1000.0;
         let run = j.spec.expected_s;
         let mut aims: Vec<(f64, f64)> = Vec::new();
         if let Some(d) = j.spec.due_s {
             aims.push((at + d - run, run / 2.0));
         }
+        if let Some(d) = j.due_at {
+            aims.push((d - run, run / 2.0));
+        }
         for o in &self.cl.objectives {
             if o.class.as_ref().is_some_and(|c| *c != j.spec.class) {
                 continue;
             }
             match (o.kind.as_str(), o.within_s, j.spec.due_s) {
-                ("wait", Some(w), _) => aims.push((at + w, 0.0)),
-                ("finished", Some(w), _) => aims.push((at + w - run, run / 2.0)),
+                ("wait", Some(w), _) => aims.push((ready + w, 0.0)),
+                ("finished", Some(w), _) => aims.push((ready + w - run, run / 2.0)),
                 ("deadline", _, Some(d)) => {
                     aims.push((at + d * o.times.unwrap_or(1.0) - run, run / 2.0));
                 }
@@ -300,7 +324,7 @@
         }
         if aims.is_empty() {
             // No aim is stated: first come, first served among the others.
-            return Some(at + self.boot_s());
+            return Some(ready + self.boot_s());
         }
         aims.into_iter()
             .filter(|a| a.0 + a.1 >= now_s)
@@ -390,7 +414,7 @@
             id: j.id.clone(),
             spec: j.spec.clone(),
             want,
-            at_s: j.at as f64 / 1000.0,
+            at_s: j.ready_at as f64 / 1000.0,
             start_by: self.start_by(j, now_s),
             zones,
             shun: self.shunned(j, now),
@@ -471,7 +495,8 @@
             let overdue = j.placed.is_empty()
                 && j.done.is_empty()
                 && now_s
-                    > j.at as f64 / 1000.0 + (OVERTAKEN_BOOTS * self.boot_s()).min(OVERTAKEN_MAX_S);
+                    > j.ready_at as f64 / 1000.0
+                        + (OVERTAKEN_BOOTS * self.boot_s()).min(OVERTAKEN_MAX_S);
             if overdue && !gang {
                 // Its turn is to begin, not to push all others aside.
                 want.truncate(j.spec.tasks.div_ceil(TURN_PART) as usize);
@@ -551,6 +576,29 @@
         self.buy(&d.unmet, calls, now, wall);
     }
 
+    /// Whether a job's record has room for these places, too, whatever of it ends
+    /// first. Where the form of records allows for the worst in advance (`runs_max`),
+    /// nothing is measured.
+    fn fits_record(&self, j: &Job, more: &[(u32, Arc<str>)]) -> bool {
+        let most = (self.cl.state.value_kb * 1024.0) as usize;
+        let names = more.iter().map(|x| x.1.len()).max().unwrap_or(0);
+        let placed = j.placed.len() + more.len();
+        if self.format < PACKED || (placed + 40) * (names + LONGEST_RUN_BYTES) < most / 2 {
+            return true;
+        }
+        let mut record = j.record(self.epoch);
+        let mut more: Vec<&(u32, Arc<str>)> = more.iter().collect();
+        more.sort_unstable();
+        for (task, host) in more {
+            let run = Run(*task, 1, j.next, host.to_string());
+            record.runs.push(run);
+        }
+        record.runs.sort_by_key(|r| r.0);
+        // Ends scattered over the row, and counters that grow.
+        let ends = (j.spec.tasks as usize / 4).min(LONGEST_RUN_BYTES * placed);
+        json_len(&record.to_value(self.format)) + ends + COUNTERS_BYTES <= most
+    }
+
     pub(super) fn place(
         &mut self,
         p: &plan::Place,
@@ -561,12 +609,13 @@
             return;
         };
         let gang = j.spec.shape == Shape::Gang;
-        if j.cancelled || (gang && !j.placed.is_empty()) {
+        if j.cancelled || j.waits || (gang && !j.placed.is_empty()) {
             return;
         }
         let need = Room::of(&j.spec);
         let mut left: HashMap<&str, Room> = HashMap::new();
-        let mut team = teams.get(&j.spec.team).cloned().unwrap_or_default();
+        let before = teams.get(&j.spec.team).cloned().unwrap_or_default();
+        let mut team = before.clone();
         let mut ok: Vec<(u32, Arc<str>)> = Vec::new();
         for (task, host) in &p.tasks {
             let fits = self.fleet.get(&**host).is_some_and(|m| {
@@ -588,6 +637,15 @@
                 return;
             }
         }
+        // As many as its record holds.
+        while !ok.is_empty() && !self.fits_record(j, &ok) {
+            if gang {
+                return;
+            }
+            ok.truncate(ok.len() * 3 / 4);
+            team = before.clone();
+            ok.iter().for_each(|_| team.grow(need));
+        }
         if ok.is_empty() {
             return;
         }
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -172,7 +172,7 @@
             .fold(0.0, f64::max);
         // Over a slow link the image may take many times as long as it should:
         // stopped in the middle of it each time, the gang would never begin.
-        let patience = f64::from(1 + j.waits);
+        let patience = f64::from(1 + j.scattered);
         Self::ms(patience * (4.0 * self.cl.workers.report_s + 3.0 * slowest))
     }
 
@@ -238,7 +238,7 @@
         }
         for id in waited {
             if let Some(j) = self.jobs.get_mut(&*id) {
-                j.waits += 1;
+                j.scattered += 1;
             }
         }
         for (id, t) in stops {
--- a/src/job.rs
+++ b/src/job.rs
@@ -3,6 +3,8 @@
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
 
+use crate::packed;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Shape {
     #[serde(rename = "a")]
@@ -68,6 +70,9 @@
     pub save_s: f64,
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     pub due_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts.
+    #[serde(rename = "dp", default, skip_serializing_if = "Vec::is_empty")]
+    pub needs: Vec<String>,
 }
 
 /// A set of task numbers, kept as sorted inclusive ranges.
@@ -151,14 +156,74 @@
     pub fn placed(&self) -> u64 {
         self.runs.iter().map(|r| u64::from(r.1)).sum()
     }
-    pub fn to_value(&self) -> Value {
-        Value::serialized(self).unwrap_or(Value::Null)
+    /// As it is stored: so that the version before this one can read it, or from
+    /// format 1 on with its body packed.
+    pub fn to_value(&self, format: u64) -> Value {
+        let packed = (format >= PACKED)
+            .then(|| packed::pack(self.spec.tasks, &self.done, &self.runs))
+            .flatten();
+        match packed {
+            Some(body) => Value::serialized(&Stored {
+                spec: self.spec.clone(),
+                at: self.at,
+                cancelled: self.cancelled,
+                next: self.next,
+                body,
+                writer: self.writer,
+            }),
+            None => Value::serialized(self),
+        }
+        .unwrap_or(Value::Null)
     }
     pub fn from_value(v: &Value) -> Option<Record> {
-        v.deserialized().ok()
+        if let Ok(r) = v.deserialized() {
+            return Some(r);
+        }
+        let s: Stored = v.deserialized().ok()?;
+        let (done, runs) = packed::unpack(s.spec.tasks, &s.body)?;
+        Some(Record {
+            spec: s.spec,
+            at: s.at,
+            cancelled: s.cancelled,
+            next: s.next,
+            done,
+            runs,
+            writer: s.writer,
+        })
     }
 }
 
+/// From this format on records are packed, and a version that does not know them
+/// runs nowhere any more.
+pub const PACKED: u64 = 1;
+
+/// A record in format 1. The next attempt has another name than before, so that a
+/// version which does not know the form can't take the record for an empty one.
+#[derive(Serialize, Deserialize)]
+struct Stored {
+    #[serde(rename = "j")]
+    spec: Spec,
+    #[serde(rename = "at")]
+    at: u64,
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    cancelled: bool,
+    #[serde(rename = "n")]
+    next: u64,
+    #[serde(rename = "p")]
+    body: String,
+    #[serde(rename = "w")]
+    writer: (u64, u64),
+}
+
+fn is_false(b: &bool) -> bool {
+    !b
+}
+
+/// A value's size as the state service counts it.
+pub fn json_len(v: &Value) -> usize {
+    serde_json::to_vec(v).map_or(usize::MAX, |t| t.len())
+}
+
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Final {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cloud;
 pub mod control;
+pub mod deps;
 pub mod fleet;
 pub mod front;
 pub mod job;
@@ -12,6 +13,7 @@
 pub mod mesh;
 pub mod net;
 pub mod node;
+pub mod packed;
 pub mod plan;
 pub mod serve;
 pub mod settings;
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -129,7 +129,7 @@
             &self.picture,
             now,
         ));
-        self.take_share(true);
+        self.format_changed();
         self.list_next = now;
         self.listing = None;
         self.planning = false;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,11 +3,13 @@
 
 mod leadership;
 mod market;
+mod needs;
 mod peers;
 mod picture;
 mod requests;
+mod version;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -24,9 +26,13 @@
 use crate::mesh::{Hand, Handed, Status, HAND_PATH, STATUS_PATH};
 use crate::net::{Action, Door, Event, Outcome, Request, CHECKIN};
 use crate::plan::{Decision, Snapshot};
+use crate::settings::StateLimits;
 use crate::settings::{Operator, Settings};
 use crate::state::{Budget, Commit, Item, Queue, LEADERS, USERS};
-use crate::store::{final_key, job_key, LeaderKey, Picture, Seen, EPOCH, JOBS, LEAD, LEADER, ROOT};
+use crate::store::{
+    final_key, job_key, member_key, LeaderKey, Picture, Seen, EPOCH, FORMAT, JOBS, LEAD, LEADER,
+    ROOT,
+};
 use crate::wire::{self, Cond, Flavor, Write};
 
 /// The steady clock since the start and the time of day, in milliseconds.
@@ -40,6 +46,8 @@
 #[derive(Debug, Clone)]
 enum Who {
     User(u64),
+    /// That this controller runs this version, or that all do.
+    Version,
     Job {
         id: String,
         ver: u64,
@@ -66,6 +74,15 @@
     ReadFinal {
         user: u64,
     },
+    /// How a job ended that a submission names.
+    ReadNeed {
+        user: u64,
+        need: String,
+    },
+    /// How a job ended that a live one needs.
+    LookUp {
+        need: String,
+    },
     Flavors,
     List {
         sent: u64,
@@ -199,6 +216,14 @@
     /// Won, but the picture does not hold the election yet.
     seat: Option<Seat>,
     pub control: Option<Control>,
+    /// There was proof that no earlier version runs any more.
+    proven: bool,
+    version_next: u64,
+    /// Turned away for the number of changes: until then the limit to come may hold.
+    scarce_until: u64,
+    /// Ends of dependencies that are being looked up.
+    looking: BTreeSet<String>,
+    look_next: u64,
     /// Cancellations that users were told of here, and when.
     withdrawn: BTreeMap<String, u64>,
     flavors: Arc<Vec<Flavor>>,
@@ -255,6 +280,11 @@
             lead: Lead::new(&set.member, life),
             seat: None,
             control: None,
+            proven: false,
+            version_next: 0,
+            scarce_until: 0,
+            looking: BTreeSet::new(),
+            look_next: 0,
             withdrawn: BTreeMap::new(),
             flavors: Arc::new(vec![]),
             flavors_next: 0,
@@ -288,7 +318,7 @@
     /// Takes the leader's or a follower's share of the state service.
     fn take_share(&mut self, leads: bool) {
         let now = self.now.steady;
-        let st = &self.set.cluster.state;
+        let st = self.limits();
         let others = self.set.known.len() as f64;
         let follower = st.rps / (others + 1.0) * FOLLOWER_REQUESTS;
         let (requests, writes) = if leads {
@@ -298,6 +328,7 @@
         };
         self.requests.set_rate(now, requests);
         self.queue.set_rate(now, st.write_rps * writes);
+        self.queue.set_ops_max(st.txn_ops);
     }
 
     pub fn take_actions(&mut self) -> Vec<Action> {
@@ -394,6 +425,8 @@
         self.tick_next = now.steady + 100;
         self.load_tick();
         self.lead_tick();
+        self.version_tick();
+        self.look_up_tick();
         self.flavors_tick();
         self.mesh_tick();
         // Workers may have gone to the one that is not heard.
@@ -591,6 +624,8 @@
                 | Call::Txn
                 | Call::Lead(_)
                 | Call::ReadFinal { .. }
+                | Call::ReadNeed { .. }
+                | Call::LookUp { .. }
         );
         if stateful {
             match &outcome {
@@ -611,6 +646,7 @@
                 self.news(&outcome, from, asked, true);
             }
             Call::Txn => {
+                self.refused(&outcome);
                 for (who, commit) in self.queue.settle(tag, &outcome) {
                     self.settled(who, commit);
                 }
@@ -618,6 +654,8 @@
             Call::Lead(ask) => self.lead_told(ask, &outcome),
             Call::Revoke => {}
             Call::ReadFinal { user } => self.read_final(user, &outcome),
+            Call::ReadNeed { user, need } => self.read_need(user, &need, &outcome),
+            Call::LookUp { need } => self.looked_up(&need, &outcome),
             Call::Flavors => {
                 if let Outcome::Answer { status: 200, body } = &outcome {
                     if let Some(f) = wire::decode::<wire::Flavors>(body) {
@@ -722,6 +760,7 @@
         let now = self.now.steady;
         match who {
             Who::User(u) => self.user_settled(u, &commit),
+            Who::Version => {}
             Who::Job {
                 id,
                 ver,
@@ -731,6 +770,7 @@
                 if let (Commit::Done { .. }, Some(f)) = (&commit, end) {
                     self.picture.ended(&id, f);
                     self.picture.jobs.remove(&id);
+                    self.digest();
                 }
                 let Some(c) = self.control.as_mut().filter(|c| c.epoch == epoch) else {
                     return;
@@ -798,8 +838,3 @@
         self.control.as_ref().map_or(0, |c| c.epoch)
     }
 }
-
-#[derive(serde::Deserialize)]
-struct FinalRead {
-    data: ciborium::Value,
-}
--- a/src/node/picture.rs
+++ b/src/node/picture.rs
@@ -137,6 +137,7 @@
                     warn!("a watch's answer can't be read");
                     return;
                 };
+                let format = self.format();
                 let seen = self.picture.news(n.rev, from, &n.news);
                 let newer = self.fresh.is_none_or(|f| f.turn < asked.turn);
                 if newer && self.picture.rev >= n.rev {
@@ -149,6 +150,12 @@
                                 (&mut self.control, self.picture.jobs.get(&id))
                             {
                                 c.job_seen(&id, l, now);
+                                if !self.picture.deps.waits(&id) {
+                                    c.needs_met(&id, l.record.at);
+                                }
+                                if self.picture.deps.has_fallen(&id) {
+                                    c.called_off(&id, now);
+                                }
                             }
                         }
                         Seen::Gone(id) => {
@@ -164,6 +171,10 @@
                         }
                     }
                 }
+                self.digest();
+                if self.picture.format > format {
+                    self.format_changed();
+                }
                 self.take_seat();
                 self.users_fresh();
             }
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -265,7 +265,8 @@
                         return;
                     }
                 }
-                self.create(user, &mut p);
+                // What it names and nobody knows is looked for after a read.
+                self.create_if_known(user, &mut p);
             }
         }
         self.users.insert(user, p);
@@ -291,6 +292,9 @@
         if !cloud::can_run(spec, &self.flavors) {
             return Err((422, "fits no allowed machine type"));
         }
+        if !self.keepable(spec) {
+            return Err((400, "its names and lists are too long to be kept"));
+        }
         Ok(())
     }
 
@@ -310,7 +314,7 @@
                     stamp: 0,
                 },
             ],
-            writes: vec![Write::set(job_key(&p.id), record.to_value())],
+            writes: vec![Write::set(job_key(&p.id), record.to_value(self.format()))],
             rank: USERS,
         });
     }
@@ -438,7 +442,7 @@
             return;
         };
         let (record, stamp) = (live.record.clone(), live.stamp);
-        if record.cancelled {
+        if self.picture.called_off(&id) {
             return self.finish_status(user, 200, wire::WITHDRAWN, None);
         }
         match p.ask {
@@ -454,10 +458,17 @@
                         key: job_key(&id),
                         stamp,
                     }],
-                    writes: vec![Write::set(job_key(&id), r.to_value())],
+                    writes: vec![Write::set(job_key(&id), r.to_value(self.format()))],
                     rank: USERS,
                 });
             }
+            // It may have fallen with one that is yet to be looked up.
+            _ if self.picture.deps.unsure(&id) => {
+                let after = self.turn + 1;
+                if let Some(p) = self.users.get_mut(&user) {
+                    p.stage = Stage::Fresh { after, rev: 0 };
+                }
+            }
             Ask::Poll | Ask::Submit(_) => {
                 let running = record.placed();
                 let name = if running > 0 {
@@ -476,22 +487,19 @@
         };
         let id = p.id.clone();
         match outcome {
-            Outcome::Answer { status: 200, body } => {
-                let end = wire::decode::<FinalRead>(body).and_then(|r| Final::from_value(&r.data));
-                match end {
-                    Some(f) => {
-                        self.picture.ended(&id, f);
-                        self.finish_status(user, 200, f.name(), None);
-                    }
-                    None => self.finish(user, 503, Some(1), vec![]),
+            Outcome::Answer { status: 200, body } => match wire::final_read(body) {
+                Some(f) => {
+                    self.picture.ended(&id, f);
+                    self.digest();
+                    self.finish_status(user, 200, f.name(), None);
                 }
-            }
+                None => self.finish(user, 503, Some(1), vec![]),
+            },
             Outcome::Answer { status: 404, .. } => match &p.ask {
                 Ask::Submit(spec) => match self.decide(spec) {
                     Ok(()) => {
-                        let mut p = p.clone();
-                        self.create(user, &mut p);
-                        self.users.insert(user, p);
+                        let spec = spec.clone();
+                        self.create_or_look(user, &spec);
                     }
                     Err((status, why)) => {
                         let body = wire::encode(&wire::Fault { error: why });
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -119,6 +119,38 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What it will hold to from some moment after all controllers run this version.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits of the state service that will come without notice; those that are not
+/// named stay.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextLimits {
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The lower of each, now and next.
+    pub fn lowered(&self) -> StateLimits {
+        let Some(n) = &self.next else {
+            return self.clone();
+        };
+        StateLimits {
+            write_rps: n
+                .write_rps
+                .map_or(self.write_rps, |x| x.min(self.write_rps)),
+            value_kb: n.value_kb.map_or(self.value_kb, |x| x.min(self.value_kb)),
+            txn_ops: n.txn_ops.map_or(self.txn_ops, |x| x.min(self.txn_ops)),
+            ..self.clone()
+        }
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -177,6 +209,9 @@
     }
 }
 
+/// What a value must be able to hold under limits to come.
+const VALUE_KB_LEAST: f64 = 1.0;
+
 fn read(path: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
         file: path.display().to_string(),
@@ -234,6 +269,18 @@
         if c.state.txn_ops < 2 {
             return bad("cluster.state.txn_ops", "must be at least 2".into());
         }
+        let low = c.state.lowered();
+        positive("cluster.state.next.write_rps", low.write_rps)?;
+        if low.txn_ops < 2 {
+            return bad("cluster.state.next.txn_ops", "must be at least 2".into());
+        }
+        // A record's fields and a few dozen of its tasks' places.
+        if low.value_kb < VALUE_KB_LEAST && c.state.next.is_some() {
+            return bad(
+                "cluster.state.next.value_kb",
+                format!("must be at least {VALUE_KB_LEAST}: records don't fit"),
+            );
+        }
         if c.limits.fd_limit < 32 {
             return bad("cluster.limits.fd_limit", "must be at least 32".into());
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,6 +144,11 @@
         list.push_back((bytes, item));
     }
 
+    /// Another number of changes that a transaction may hold.
+    pub fn set_ops_max(&mut self, ops_max: usize) {
+        self.ops_max = ops_max;
+    }
+
     /// Another share of the changes that the state service takes.
     pub fn set_rate(&mut self, now: u64, write_rate: f64) {
         self.budget.set_rate(now, write_rate);
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,18 +1,24 @@
 //! The picture of the state service: live jobs, the leader key and the epoch
 //! counter, fed by a watch, and a bounded memory of how jobs ended.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
 
+use crate::deps::{Deps, Known, Then};
 use crate::job::{Final, Record};
 use crate::wire::{Change, Page};
 
 pub const ROOT: &str = "g/";
 pub const JOBS: &str = "g/j/";
 pub const LEAD: &str = "g/l/";
+/// The format that all controllers know, a number that only rises. The version before
+/// this one passes over what it does not know below `g/l/`.
+pub const FORMAT: &str = "g/l/format";
+/// Controllers that run this version, or a later one.
+const MEMBERS: &str = "g/l/m/";
 pub const LEADER: &str = "g/l/leader";
 pub const EPOCH: &str = "g/l/epoch";
 const FINALS: &str = "g/f/";
@@ -22,10 +28,27 @@
 pub fn job_key(id: &str) -> String {
     format!("{JOBS}{id}")
 }
+pub fn member_key(member: &str) -> String {
+    format!("{MEMBERS}{member}")
+}
 pub fn final_key(id: &str) -> String {
     format!("{FINALS}{id}")
 }
 
+fn number(data: &Value) -> u64 {
+    let n = data.as_integer();
+    n.and_then(|i| u64::try_from(i128::from(i)).ok())
+        .unwrap_or(0)
+}
+
+fn known(jobs: &BTreeMap<String, Live>, finals: &HashMap<String, Final>, id: &str) -> Known {
+    match (finals.get(id), jobs.get(id)) {
+        (Some(f), _) => Known::Over(*f),
+        (_, Some(l)) => Known::Live(l.record.cancelled),
+        _ => Known::Unknown,
+    }
+}
+
 /// The leader key's value.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderKey {
@@ -56,6 +79,14 @@
     pub leader: Option<(LeaderKey, u64)>,
     pub epoch: u64,
     pub epoch_stamp: u64,
+    pub format: u64,
+    pub format_stamp: u64,
+    /// Controllers that have made themselves known as running this version.
+    pub members: BTreeSet<String>,
+    /// What waits for what among the live jobs.
+    pub deps: Deps,
+    /// What followed for them from changes, to be fetched.
+    then: Vec<Then>,
     finals: HashMap<String, Final>,
     order: VecDeque<String>,
 }
@@ -69,6 +100,24 @@
         self.leader = None;
         self.epoch = 0;
         self.epoch_stamp = 0;
+        self.deps = Deps::default();
+        self.then.clear();
+    }
+
+    /// What changes since the last call mean for jobs that need others.
+    pub fn take_then(&mut self) -> Vec<Then> {
+        std::mem::take(&mut self.then)
+    }
+
+    /// What is known of a job.
+    pub fn known(&self, id: &str) -> Known {
+        known(&self.jobs, &self.finals, id)
+    }
+
+    /// A live job that users are told is cancelled: by its own record, or because one
+    /// that it needs is.
+    pub fn called_off(&self, id: &str) -> bool {
+        self.deps.has_fallen(id) || self.jobs.get(id).is_some_and(|l| l.record.cancelled)
     }
 
     pub fn page(&mut self, page: &Page) {
@@ -110,6 +159,15 @@
             }
             match Record::from_value(data) {
                 Some(r) => {
+                    let was = self.jobs.get(id).map(|l| l.record.cancelled);
+                    if was.is_none() {
+                        let known = |n: &str| known(&self.jobs, &self.finals, n);
+                        let then = &mut self.then;
+                        self.deps.add(id, &r.spec.needs, known, then);
+                    }
+                    if r.cancelled && was != Some(true) {
+                        self.deps.cancelled(id, &mut self.then);
+                    }
                     self.jobs.insert(
                         id.to_string(),
                         Live {
@@ -123,8 +181,8 @@
             }
         } else if let Some(id) = key.strip_prefix(FINALS) {
             if let Some(f) = Final::from_value(data) {
-                self.ended(id, f);
                 self.jobs.remove(id);
+                self.ended(id, f);
                 seen.push(Seen::Gone(id.to_string()));
             }
         } else if key == LEADER {
@@ -134,12 +192,13 @@
                     seen.push(Seen::Leader);
                 }
             }
+        } else if let Some(member) = key.strip_prefix(MEMBERS) {
+            self.members.insert(member.to_string());
+        } else if key == FORMAT && stamp > self.format_stamp {
+            self.format = number(data).max(self.format);
+            self.format_stamp = stamp;
         } else if key == EPOCH && stamp > self.epoch_stamp {
-            self.epoch = data
-                .as_integer()
-                .and_then(|i| u64::try_from(i128::from(i)).ok())
-                .unwrap_or(0)
-                .max(self.epoch);
+            self.epoch = number(data).max(self.epoch);
             self.epoch_stamp = stamp;
         }
     }
@@ -156,7 +215,13 @@
         }
     }
 
+    /// How a job ended is on record.
     pub fn ended(&mut self, id: &str, f: Final) {
+        match f {
+            Final::Done => self.deps.done(id, &mut self.then),
+            Final::Withdrawn => self.deps.cancelled(id, &mut self.then),
+        }
+        self.deps.remove(id);
         if self.finals.insert(id.to_string(), f).is_none() {
             self.order.push_back(id.to_string());
             if self.order.len() > FINALS_MAX {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,5 +1,7 @@
 //! The names that go over the wire, and nothing else.
 
+use std::collections::HashSet;
+
 use ciborium::Value;
 use serde::de::{self, DeserializeOwned, Deserializer, Visitor};
 use serde::{Deserialize, Serialize};
@@ -215,6 +217,15 @@
     pub stamp: u64,
 }
 
+/// How a job ended, as read by its key.
+pub fn final_read(body: &[u8]) -> Option<Final> {
+    #[derive(Deserialize)]
+    struct Read {
+        data: Value,
+    }
+    Final::from_value(&decode::<Read>(body)?.data)
+}
+
 #[derive(Debug, Deserialize)]
 pub struct Page {
     pub pairs: Vec<Pair>,
@@ -310,7 +321,7 @@
 
 // ---- a submission, checked field by field
 
-use crate::job::{Shape, Spec, Urgency};
+use crate::job::{Final, Shape, Spec, Urgency};
 
 /// Job ids have one form only.
 pub fn job_id_ok(id: &str) -> bool {
@@ -395,6 +406,20 @@
         None => None,
         Some(v) => Some(v.as_text()?.to_string()),
     };
+    let needs = match get(m, "waitsOn") {
+        None => vec![],
+        Some(v) => {
+            let mut named = HashSet::new();
+            let mut names = Vec::new();
+            for x in v.as_array()? {
+                let name = x.as_text().filter(|n| job_id_ok(n))?;
+                if named.insert(name) {
+                    names.push(name.to_string());
+                }
+            }
+            names
+        }
+    };
     Some((
         id,
         Spec {
@@ -417,6 +442,7 @@
             checkpoint_s: amount(m, "snapshotEveryS")??,
             save_s: amount(m, "snapshotS")??,
             due_s: amount(m, "dueS")?,
+            needs,
         },
     ))
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,6 +14,11 @@
 use gaugesill::wire::{self, Change, Grant, GrantAsk, News, Order, Orders, Piece, Report, Txn};
 
 pub fn settings(member: usize, teams: &str) -> Settings {
+    settings_with(member, teams, "")
+}
+
+/// `next`: limits to come, as the settings have them behind the present ones.
+pub fn settings_with(member: usize, teams: &str, next: &str) -> Settings {
     let known: Vec<String> = (0..3)
         .filter(|i| *i != member)
         .map(|i| {
@@ -28,7 +33,7 @@
         "known":[{}],"endpoints":{{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"}},"news_field":1,
         "cluster":{{"zones":["a","b"],"teams":[{teams}],
         "workers":{{"report_s":3.0,"lease_s":36.0,"gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0}},
-        "state":{{"rps":200.0,"write_rps":50.0,"value_kb":16.0,"txn_ops":20}},
+        "state":{{"rps":200.0,"write_rps":50.0,"value_kb":16.0,"txn_ops":20{next}}},
         "cloud":{{"rps":10.0,"list_lag_s":1.0}},
         "limits":{{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}},"clock_off_ms":100.0}}}}"#,
         known.join(","),
@@ -51,6 +56,67 @@
     .expect("a value")
 }
 
+/// A record as the version before this one has it.
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct OldRecord {
+    #[serde(rename = "j")]
+    pub spec: OldSpec,
+    pub at: u64,
+    #[serde(rename = "x", default)]
+    pub cancelled: bool,
+    #[serde(rename = "a")]
+    pub next: u64,
+    #[serde(rename = "f", default)]
+    pub done: Vec<(u32, u32)>,
+    #[serde(rename = "r", default)]
+    pub runs: Vec<(u32, u32, u64, String)>,
+    #[serde(rename = "w", default)]
+    pub writer: (u64, u64),
+}
+
+/// What was asked for, as the version before this one has it.
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct OldSpec {
+    #[serde(rename = "c")]
+    class: String,
+    #[serde(rename = "t")]
+    team: String,
+    #[serde(rename = "s")]
+    shape: String,
+    #[serde(rename = "u")]
+    urgency: String,
+    #[serde(rename = "n")]
+    tasks: u32,
+    #[serde(rename = "cp", deserialize_with = "wire::num")]
+    cpus: f64,
+    #[serde(rename = "gp", deserialize_with = "wire::num")]
+    gpus: f64,
+    #[serde(rename = "me", deserialize_with = "wire::num")]
+    mem: f64,
+    #[serde(rename = "ty", default, skip_serializing_if = "Option::is_none")]
+    types: Option<Vec<String>>,
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    zone: Option<String>,
+    #[serde(rename = "oz", default)]
+    one_zone: bool,
+    #[serde(rename = "sp", default)]
+    spread: bool,
+    #[serde(rename = "so", default)]
+    spot: bool,
+    #[serde(rename = "i")]
+    image: String,
+    #[serde(rename = "ig", deserialize_with = "wire::num")]
+    image_gb: f64,
+    #[serde(rename = "ex", deserialize_with = "wire::num")]
+    expected_s: f64,
+    #[serde(rename = "ck", deserialize_with = "wire::num")]
+    checkpoint_s: f64,
+    #[serde(rename = "sv", deserialize_with = "wire::num")]
+    save_s: f64,
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    due_s: Option<f64>,
+}
+
 // ---- the state service
 
 #[derive(Default)]
@@ -61,6 +127,22 @@
     grants: HashMap<u64, (u64, u64)>,
     next_grant: u64,
     pub commits: Vec<String>,
+    pub tells_format: bool,
+    /// The limits that hold now, if they have fallen.
+    pub low: Option<Low>,
+    /// Changes left to make, and when that was.
+    left: (f64, u64),
+    /// How often something was refused as too large, or as too much.
+    pub too_large: u64,
+    pub too_much: u64,
+}
+
+/// Lower limits: bytes of a value, changes of a transaction, changes a second.
+#[derive(Clone, Copy)]
+pub struct Low {
+    pub value: usize,
+    pub ops: usize,
+    pub rate: f64,
 }
 
 pub enum Served {
@@ -179,7 +261,7 @@
                 }
                 None => Served::Now(404, vec![]),
             },
-            ("POST", "/txn") => self.txn(body),
+            ("POST", "/txn") => self.txn(body, now),
             ("POST", "/grants") => {
                 let ask: GrantAsk = wire::decode(body).expect("a grant request");
                 self.next_grant += 1;
@@ -219,8 +301,25 @@
         }
     }
 
-    fn txn(&mut self, body: &[u8]) -> Served {
+    fn txn(&mut self, body: &[u8], now: u64) -> Served {
         let t: Txn = wire::decode(body).expect("a transaction");
+        if let Some(low) = self.low {
+            let size = |w: &wire::Write| w.data.as_ref().map_or(0, gaugesill::job::json_len);
+            if t.writes.len() > low.ops || t.writes.iter().any(|w| size(w) > low.value) {
+                self.too_large += 1;
+                let e = cbor!({"error" => "too large"}).expect("value");
+                return Served::Now(400, wire::encode(&e));
+            }
+            let (left, at) = self.left;
+            let since = (now - at) as f64 / 1000.0;
+            let left = (left + since * low.rate).min(low.rate);
+            self.left = (left, now);
+            if (t.writes.len() as f64) > left {
+                self.too_much += 1;
+                return Served::Now(429, vec![]);
+            }
+            self.left.0 -= t.writes.len() as f64;
+        }
         let failed: Vec<String> = t
             .conds
             .iter()
@@ -240,7 +339,10 @@
         self.rev += 1;
         for w in t.writes {
             if let (Some(k), Some(d)) = (w.set, w.data) {
-                self.commits.push(describe(&k, &d));
+                // What versions tell one another is of no interest to most traces.
+                if !k.starts_with("g/l/m/") && (k != "g/l/format" || self.tells_format) {
+                    self.commits.push(describe(&k, &d));
+                }
                 self.keys.insert(k.clone(), (d.clone(), self.rev, w.permit));
                 self.log.push(Change {
                     set: Some(k),
@@ -520,6 +622,7 @@
     pub gang: bool,
     pub one_zone: bool,
     pub spread: bool,
+    pub needs: Vec<String>,
     pub accepted: bool,
     /// When a task of it was first started.
     pub begun: Option<u64>,
@@ -549,6 +652,8 @@
     conns: HashMap<usize, Origin>,
     next_conn: usize,
     pub answers: Vec<Option<UserAnswer>>,
+    /// Jobs that users have asked to cancel.
+    asked_off: HashSet<String>,
     /// Accepted jobs that were asked about.
     asked: HashMap<usize, String>,
     pub jobs: BTreeMap<String, Job>,
@@ -579,6 +684,10 @@
     /// Controllers that get no answers to reads of the state service, and whose
     /// grants can't be given back.
     pub blind: HashSet<usize>,
+    /// Limits of the state service to come, as in the settings.
+    pub next: String,
+    /// Controllers that run the version before this one.
+    pub old: HashSet<usize>,
     /// What becomes of transactions.
     pub writes: Writes,
     /// What has been held up and is carried out late, and when.
@@ -638,6 +747,7 @@
             conns: HashMap::new(),
             next_conn: 1,
             answers: vec![],
+            asked_off: HashSet::new(),
             asked: HashMap::new(),
             jobs: BTreeMap::new(),
             state_out: false,
@@ -653,6 +763,8 @@
             hung_inbox: vec![],
             refused: HashSet::new(),
             blind: HashSet::new(),
+            next: String::new(),
+            old: HashSet::new(),
             writes: Writes::Answered,
             held_writes: vec![],
             txns: 0,
@@ -781,6 +893,12 @@
     pub fn ask(&mut self, node: usize, method: &str, path: &str, body: Vec<u8>) -> usize {
         self.answers.push(None);
         let slot = self.answers.len() - 1;
+        if let Some(id) = path
+            .strip_suffix("/cancel")
+            .and_then(|p| p.split('/').nth(2))
+        {
+            self.asked_off.insert(id.to_string());
+        }
         if let Some(id) = path.split('/').nth(2) {
             // What was accepted before it is asked about must be known.
             if self.jobs.get(id).is_some_and(|j| j.accepted) {
@@ -813,6 +931,7 @@
                 gang: spec.shape == gaugesill::job::Shape::Gang,
                 one_zone: spec.one_zone,
                 spread: spec.spread,
+                needs: spec.needs,
                 accepted: false,
                 begun: None,
                 cores: spec.cpus,
@@ -1013,9 +1132,18 @@
             if final_(&old) && old != st {
                 self.broken.push(format!("went_back: {id} {old} then {st}"));
             }
+            let asked = self.asked_above(&id);
+            let since = self.cancelled_since(&id);
+            let late = since.is_some_and(|t| self.now > t + 60_000);
+            if matches!(&*st, "pending" | "running") && late {
+                self.broken.push(format!("orphaned: {id}"));
+            }
             if let Some(j) = self.jobs.get_mut(&id) {
-                if st == "withdrawn" && j.cancelled_at.is_none() {
-                    j.cancelled_at = Some(self.now);
+                if st == "withdrawn" {
+                    j.cancelled_at.get_or_insert(self.now);
+                    if !asked {
+                        self.broken.push(format!("nobody called off {id}"));
+                    }
                 }
                 if st == "done" && j.done.len() < j.pieces as usize {
                     self.broken.push(format!("not_done: {id}"));
@@ -1061,7 +1189,7 @@
             if self.back_at[i].is_some_and(|t| self.now >= t) {
                 self.back_at[i] = None;
                 let seed = 10 * self.lives[i] + i as u64;
-                let set = settings(i, &self.team);
+                let set = settings_with(i, &self.team, &self.next);
                 self.nodes[i] = Some(Node::new(set, Operator::default(), seed));
             }
         }
@@ -1156,6 +1284,7 @@
                     return;
                 }
                 let mut answered = true;
+                let body = self.as_old(ticket.node, &path, body);
                 if path == "/txn" {
                     self.txns += 1;
                     match self.writes {
@@ -1353,6 +1482,56 @@
         }
     }
 
+    /// Whether a job is cancelled, or one that it needs is.
+    pub fn fallen(&self, id: &str) -> bool {
+        self.cancelled_since(id).is_some()
+    }
+
+    /// Whether users asked to cancel a job, or one that it needs.
+    fn asked_above(&self, id: &str) -> bool {
+        let needs = self.jobs.get(id).map_or(&[][..], |j| &j.needs);
+        self.asked_off.contains(id) || needs.iter().any(|n| self.asked_above(n))
+    }
+
+    /// Since when users know that a job, or one that it needs, is cancelled.
+    fn cancelled_since(&self, id: &str) -> Option<u64> {
+        let j = self.jobs.get(id)?;
+        let above = j.needs.iter().filter_map(|n| self.cancelled_since(n));
+        above.chain(j.cancelled_at).min()
+    }
+
+    /// What the version before this one makes of a transaction: it does not make itself
+    /// known, and drops fields that it does not know. While it runs anywhere, all that is
+    /// written must be what it can read.
+    fn as_old(&mut self, node: usize, path: &str, body: Vec<u8>) -> Vec<u8> {
+        if self.old.is_empty() || path != "/txn" {
+            return body;
+        }
+        let mut t: Txn = wire::decode(&body).expect("a transaction");
+        let old = self.old.contains(&node);
+        if old {
+            let news = |k: &str| k == "g/l/format" || k.starts_with("g/l/m/");
+            t.writes.retain(|w| !news(w.key()));
+        }
+        for w in &mut t.writes {
+            if w.key() == "g/l/format" {
+                self.broken.push("the format is raised too soon".into());
+            }
+            let Some(data) = w.data.as_mut().filter(|_| {
+                let key = w.set.as_deref().unwrap_or("");
+                key.starts_with("g/j/")
+            }) else {
+                continue;
+            };
+            match data.deserialized::<OldRecord>() {
+                Ok(r) if old => *data = Value::serialized(&r).expect("a value"),
+                Ok(r) if Value::serialized(&r).expect("a value") == *data => {}
+                _ => self.broken.push(format!("unreadable before: {data:?}")),
+            }
+        }
+        wire::encode(&t)
+    }
+
     /// A machine stands still, and goes on after this time.
     pub fn hang(&mut self, host: &str, ms: u64) {
         self.hung.insert(host.to_string(), self.now + ms);
@@ -1529,6 +1708,14 @@
         if j.cancelled_at.is_some_and(|t| now > t + 60_000) {
             self.broken.push(format!("ran_cancelled: {piece} started"));
         }
+        let undone = |n: &&String| {
+            self.jobs
+                .get(*n)
+                .is_none_or(|x| x.done.len() < x.pieces as usize)
+        };
+        if let Some(n) = j.needs.iter().find(undone) {
+            self.broken.push(format!("too_early: {piece} before {n}"));
+        }
         let mut halls: BTreeMap<&str, u32> = BTreeMap::new();
         for (h, w) in &self.workers {
             let of_job =
@@ -1714,8 +1901,8 @@
 
     pub fn all_done(&self) -> bool {
         self.jobs
-            .values()
-            .all(|j| j.cancelled_at.is_some() || j.done.len() == j.pieces as usize)
+            .iter()
+            .all(|(id, j)| j.done.len() == j.pieces as usize || self.fallen(id))
     }
 
     /// All is done, and every record closed, within this time.
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -44,6 +44,7 @@
         checkpoint_s: 2.0,
         save_s: 1.0,
         due_s: None,
+        needs: vec![],
     }
 }
 
@@ -913,7 +914,7 @@
     let mut r = Record::new(spec(Shape::Array, 100_000, 4.0, Urgency::Low), 17);
     r.done.insert(7);
     r.runs.push(Run(0, 3, 5, "m-000001".into()));
-    let bytes = wire::encode(&r.to_value());
+    let bytes = wire::encode(&r.to_value(0));
     let v: Value = wire::decode(&bytes).expect("a value");
     assert_eq!(Record::from_value(&v), Some(r));
 }
@@ -1067,7 +1068,7 @@
     let record = Record::new(spec(Shape::Array, 1, 1.0, Urgency::Low), 1);
     let late = Change {
         set: Some("g/j/run-1".into()),
-        data: Some(record.to_value()),
+        data: Some(record.to_value(0)),
         drop: None,
         stamp: 3,
     };
