A place that was given away is not used again by a successor

The successor started them in their places, beyond the machine's room; a team's limit could go the same way.

--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -130,7 +130,7 @@
                     // It is on record, so it may as well be started: also what
                     // an earlier leader did not come to.
                     let again = p.phase.is_none() && p.sends < 3 && p.stop.is_none();
-                    if again && placeable && !j.cancelled {
+                    if again && placeable && !j.cancelled && self.has_room_for(&o, &host) {
                         self.restart(&o.job, o.task);
                     } else {
                         debug!("{} is not on {host}", task_name(&o.job, o.task));
@@ -162,6 +162,20 @@
         room && placeable && self.waiting
     }
 
+    /// Whether a place on record that is proven empty may still be used. Not if its
+    /// task was stopped to make room, the room was given to another and that recorded,
+    /// and the leader ended before it struck the first off: then the machine's room or
+    /// the team's limit is given out twice.
+    fn has_room_for(&self, o: &OnRecord, host: &str) -> bool {
+        let (Some(m), Some(j)) = (self.fleet.get(host), self.jobs.get(&*o.job)) else {
+            return false;
+        };
+        let team = self.cl.teams.iter().find(|t| t.name == j.spec.team);
+        let limited = team.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        self.free(m).fits(Room::default())
+            && (!limited || self.teams()[&j.spec.team].within_limit())
+    }
+
     /// A task that is on record and proven not to be on its machine may be
     /// started there under its attempt.
     fn restart(&mut self, id: &str, task: u32) {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -187,6 +187,11 @@
             && self.ask_cpus <= self.cpus_own + EPS
             && self.ask_gpus <= self.gpus_own + EPS
     }
+    /// Uses no more than its limit.
+    pub fn within_limit(&self) -> bool {
+        let ok = |max: f64, used: f64| max <= 0.0 || used <= max + EPS;
+        ok(self.cpus_max, self.cpus) && ok(self.gpus_max, self.gpus)
+    }
     /// Uses more than its guarantee.
     fn borrows(&self) -> bool {
         self.cpus > self.cpus_own + EPS || self.gpus > self.gpus_own + EPS
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -401,8 +401,12 @@
 }
 
 fn control_with(objectives: &str, report_s: &str) -> Control {
+    control_of(r#"[{"name":"t"}]"#, objectives, report_s)
+}
+
+fn control_of(teams: &str, objectives: &str, report_s: &str) -> Control {
     let text = format!(
-        r#"{{"objectives":{objectives},"teams":[{{"name":"t"}}],"workers":{{"report_s":{report_s},"lease_s":36.0,
+        r#"{{"objectives":{objectives},"teams":{teams},"workers":{{"report_s":{report_s},"lease_s":36.0,
         "gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0}},
         "state":{{"rps":9.0,"write_rps":9.0,"value_kb":16.0,"txn_ops":20}},
         "cloud":{{"rps":9.0,"list_lag_s":1.0}},
@@ -751,6 +755,39 @@
     assert!(c.jobs["run-1"].placed.is_empty());
 }
 
+/// Found by `new_machines_at_once_while_writes_lag`: a task was stopped to make room, or
+/// ended, another was placed and recorded, and the leader ended before it could strike the
+/// first off. Its successor finds both on record and one on the machine: to start the other
+/// in its place would go beyond the machine's room or the team's limit.
+#[test]
+fn a_place_that_was_given_away_is_not_used() {
+    // Room for both and no limit; too little room; too low a limit.
+    for (cpus, limit, kept) in [(4.0, 0.0, 1), (20.0, 0.0, 0), (4.0, 7.0, 0)] {
+        let mut c = control_of(
+            &format!(r#"[{{"name":"t","cpus_max":{limit:.1}}}]"#),
+            "[]",
+            "3.0",
+        );
+        for id in ["run-1", "run-2"] {
+            let mut record = Record::new(spec(Shape::Array, 1, cpus, Urgency::Low), 1_000_000);
+            record.runs = vec![Run(0, 1, 1, "m-0".into())];
+            record.next = 2;
+            let live = Live {
+                record: Arc::new(record),
+                stamp: 1,
+            };
+            c.job_seen(id, &live, 1000);
+        }
+        let there = piece("run-2/0", 1, "running", None);
+        let r = reports(1, 2, vec![there.clone()]);
+        c.report(&r, true, 1500);
+        assert_eq!(c.jobs["run-1"].placed.len(), kept, "{cpus} {limit}");
+        assert_eq!(c.jobs["run-2"].placed.len(), 1);
+        let starts = c.orders(&r, true, 1500);
+        assert_eq!(starts.len(), kept);
+    }
+}
+
 /// A worker answers a direct question while the answer that clears a task and starts
 /// it again under its attempt is still on its way to it: what it says of the first
 /// end says nothing of the second start.
