--- a/src/front.rs
+++ b/src/front.rs
@@ -43,6 +43,11 @@
     pub stage: Stage,
     /// As it came, to hand it on.
     pub body: Vec<u8>,
+    /// What a submission names: found on record, though not in the picture yet.
+    pub found: Vec<String>,
+    /// It names a job that was never accepted. If it was accepted itself, it gets its
+    /// state all the same.
+    pub astray: bool,
 }
 
 /// A limit on requests in progress that adjusts itself to measured times: it
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -74,10 +74,11 @@
     ReadFinal {
         user: u64,
     },
-    /// How a job ended that a submission names.
+    /// The record of a job that a submission names, or how it ended.
     ReadNeed {
         user: u64,
         need: String,
+        over: bool,
     },
     /// How a job ended that a live one needs.
     LookUp {
@@ -654,7 +655,7 @@
             Call::Lead(ask) => self.lead_told(ask, &outcome),
             Call::Revoke => {}
             Call::ReadFinal { user } => self.read_final(user, &outcome),
-            Call::ReadNeed { user, need } => self.read_need(user, &need, &outcome),
+            Call::ReadNeed { user, need, over } => self.read_need(user, need, over, &outcome),
             Call::LookUp { need } => self.looked_up(&need, &outcome),
             Call::Flavors => {
                 if let Outcome::Answer { status: 200, body } = &outcome {
--- a/src/node/needs.rs
+++ b/src/node/needs.rs
@@ -24,63 +24,56 @@
         }
     }
 
-    /// A job that a submission names and of which nothing is known here.
-    fn unknown_need(&self, spec: &Spec) -> Option<String> {
-        let unknown = |n: &&String| self.picture.known(n) == Known::Unknown;
-        spec.needs.iter().find(unknown).cloned()
-    }
-
-    /// Accepts a job, if all that it names is known to have been accepted. True if so.
-    pub(super) fn create_if_known(&mut self, user: u64, p: &mut Pending) -> bool {
-        let Ask::Submit(spec) = &p.ask else {
-            return false;
+    /// Accepts a new job if all that it names is known to have been accepted; else looks
+    /// for the first of the others. Another controller may have accepted it a moment ago,
+    /// so its record is read, and then, if it is not alive, how it ended.
+    pub(super) fn create_or_look(&mut self, user: u64) {
+        let Some(mut p) = self.users.get(&user).cloned() else {
+            return;
         };
-        if self.unknown_need(spec).is_some() {
-            return false;
+        let Ask::Submit(spec) = &p.ask else { return };
+        let unknown = |n: &&String| self.picture.known(n) == Known::Unknown && !p.found.contains(n);
+        if let Some(need) = spec.needs.iter().find(unknown).cloned() {
+            if let Some(p) = self.users.get_mut(&user) {
+                p.stage = Stage::Read;
+            }
+            return self.look_for(user, need, false);
         }
         if !spec.needs.is_empty() {
             self.prove("a submission names dependencies");
         }
-        self.create(user, p);
-        true
+        self.create(user, &mut p);
+        self.users.insert(user, p);
     }
 
-    /// Nothing is known of a new job: accepts it, or looks up what it names first.
-    pub(super) fn create_or_look(&mut self, user: u64, spec: &Spec) {
-        let Some(mut p) = self.users.get(&user).cloned() else {
-            return;
+    fn look_for(&mut self, user: u64, need: String, over: bool) {
+        let key = if over {
+            final_key(&need)
+        } else {
+            job_key(&need)
         };
-        if self.create_if_known(user, &mut p) {
-            self.users.insert(user, p);
-        } else if let Some(need) = self.unknown_need(spec) {
-            // The picture is newer than the request, so it is not alive.
-            let path = format!("/kv/{}", final_key(&need));
-            self.state(Call::ReadNeed { user, need }, "GET", path, vec![], 1000);
-        }
+        let call = Call::ReadNeed { user, need, over };
+        self.state(call, "GET", format!("/kv/{key}"), vec![], 1000);
     }
 
-    pub(super) fn read_need(&mut self, user: u64, need: &str, outcome: &Outcome) {
+    pub(super) fn read_need(&mut self, user: u64, need: String, over: bool, outcome: &Outcome) {
         match outcome {
             Outcome::Answer { status: 200, body } => {
-                if let Some(f) = wire::final_read(body) {
-                    self.picture.ended(need, f);
+                if let Some(f) = wire::final_read(body).filter(|_| over) {
+                    self.picture.ended(&need, f);
                     self.digest();
                 }
-                let ask = self.users.get(&user).map(|p| p.ask.clone());
-                if let Some(Ask::Submit(spec)) = ask {
-                    self.create_or_look(user, &spec);
+                if let Some(p) = self.users.get_mut(&user) {
+                    p.found.push(need);
                 }
+                self.create_or_look(user);
             }
-            Outcome::Answer { status: 404, .. } if self.picture.known(need) == Known::Unknown => {
-                let body = wire::encode(&wire::Fault {
-                    error: "names a job that was never accepted",
-                });
-                self.finish(user, 422, None, body);
-            }
+            Outcome::Answer { status: 404, .. } if !over => self.look_for(user, need, true),
             Outcome::Answer { status: 404, .. } => {
-                let ask = self.users.get(&user).map(|p| p.ask.clone());
-                if let Some(Ask::Submit(spec)) = ask {
-                    self.create_or_look(user, &spec);
+                let after = self.turn;
+                if let Some(p) = self.users.get_mut(&user) {
+                    p.astray = true;
+                    p.stage = Stage::Fresh { after, rev: 0 };
                 }
             }
             _ => self.unserved(user),
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -247,6 +247,8 @@
             since: now,
             stage: fresh,
             body,
+            found: vec![],
+            astray: false,
         };
         if !self.picture.loaded || !self.served() {
             return self.hand(user, p);
@@ -265,8 +267,8 @@
                         return;
                     }
                 }
-                // What it names and nobody knows is looked for after a read.
-                self.create_if_known(user, &mut p);
+                self.users.insert(user, p);
+                return self.create_or_look(user);
             }
         }
         self.users.insert(user, p);
@@ -497,10 +499,13 @@
             },
             Outcome::Answer { status: 404, .. } => match &p.ask {
                 Ask::Submit(spec) => match self.decide(spec) {
-                    Ok(()) => {
-                        let spec = spec.clone();
-                        self.create_or_look(user, &spec);
+                    Ok(()) if p.astray => {
+                        let body = wire::encode(&wire::Fault {
+                            error: "names a job that was never accepted",
+                        });
+                        self.finish(user, 422, None, body);
                     }
+                    Ok(()) => self.create_or_look(user),
                     Err((status, why)) => {
                         let body = wire::encode(&wire::Fault { error: why });
                         let retry = (status == 503).then_some(1);
