--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -577,13 +577,14 @@
     }
 
     /// Whether a job's record has room for these places, too, whatever of it ends
-    /// first. Where the form of records allows for the worst in advance (`runs_max`),
-    /// nothing is measured.
+    /// first. Nothing is measured where there is room for the worst beside the longest
+    /// lists that a submission may have, or the form of records allows for it in advance
+    /// (`runs_max`).
     fn fits_record(&self, j: &Job, more: &[(u32, Arc<str>)]) -> bool {
         let most = (self.cl.state.value_kb * 1024.0) as usize;
         let names = more.iter().map(|x| x.1.len()).max().unwrap_or(0);
         let placed = j.placed.len() + more.len();
-        if self.format < PACKED || (placed + 40) * (names + LONGEST_RUN_BYTES) < most / 2 {
+        if self.format < PACKED || (placed + 40) * (names + LONGEST_RUN_BYTES) < most / 4 {
             return true;
         }
         let mut record = j.record(self.epoch);
