--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -76,6 +76,7 @@
 
 /// Afterwards all that was not called off is done, and everybody knows.
 fn all_is_well(s: &mut Sim) {
+    s.no_peers.clear();
     s.end_outage();
     s.finish(150_000);
     s.assert_sound();
@@ -107,7 +108,6 @@
         } else {
             assert_eq!(killed, 6, "what can't be told apart ends, too");
         }
-        s.no_peers.clear();
         all_is_well(&mut s);
         if k == 0 {
             kept("gap", &s.trace);
@@ -138,6 +138,10 @@
     for k in 0..6u64 {
         let mut s = Sim::new();
         let (l, _) = refused_then_called_off(&mut s, 2500 + 600 * k);
+        if k >= 4 {
+            // Nor does the old leader hear of it.
+            s.no_peers.insert(l);
+        }
         s.state_out = true;
         s.run(3000);
         if k % 2 == 1 {
