--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,6 +13,7 @@
 use tracing::{debug, info, warn};
 
 use crate::cloud::{self, Coming, Kind, Need};
+use crate::deps::Deps;
 use crate::fleet::{Cause, Expect, Listed, Machine, OnRecord, Phase, Told};
 use crate::job::{json_len, task_name, Final, Ranges, Record, Run, Shape, Spec, Urgency, PACKED};
 use crate::plan::{
@@ -468,14 +469,8 @@
             swamped_at: None,
         };
         for (id, live) in &picture.jobs {
-            c.job_seen(id, live, now);
-            if !picture.deps.waits(id) {
-                // Since when is not on record.
-                c.needs_met(id, c.wall);
-            }
-            if picture.deps.has_fallen(id) {
-                c.called_off(id, now);
-            }
+            // Since when it is ready is not on record.
+            c.job_shown(id, live, &picture.deps, c.wall, now);
         }
         c
     }
@@ -576,6 +571,18 @@
 
     // ---- records
 
+    /// The picture shows a job's record, and how it stands with what it needs; if that
+    /// is done, it counts as ready since `ready_at`.
+    pub fn job_shown(&mut self, id: &str, live: &Live, deps: &Deps, ready_at: u64, now: u64) {
+        self.job_seen(id, live, now);
+        if !deps.waits(id) {
+            self.needs_met(id, ready_at);
+        }
+        if deps.has_fallen(id) {
+            self.called_off(id, now);
+        }
+    }
+
     /// The picture shows a job's record.
     pub fn job_seen(&mut self, id: &str, live: &Live, now: u64) {
         let r = &live.record;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,8 +26,7 @@
 use crate::mesh::{Hand, Handed, Status, HAND_PATH, STATUS_PATH};
 use crate::net::{Action, Door, Event, Outcome, Request, CHECKIN};
 use crate::plan::{Decision, Snapshot};
-use crate::settings::StateLimits;
-use crate::settings::{Operator, Settings};
+use crate::settings::{Operator, Settings, StateLimits};
 use crate::state::{Budget, Commit, Item, Queue, LEADERS, USERS};
 use crate::store::{
     final_key, job_key, member_key, LeaderKey, Picture, Seen, EPOCH, FORMAT, JOBS, LEAD, LEADER,
--- a/src/node/picture.rs
+++ b/src/node/picture.rs
@@ -149,13 +149,8 @@
                             if let (Some(c), Some(l)) =
                                 (&mut self.control, self.picture.jobs.get(&id))
                             {
-                                c.job_seen(&id, l, now);
-                                if !self.picture.deps.waits(&id) {
-                                    c.needs_met(&id, l.record.at);
-                                }
-                                if self.picture.deps.has_fallen(&id) {
-                                    c.called_off(&id, now);
-                                }
+                                let deps = &self.picture.deps;
+                                c.job_shown(&id, l, deps, l.record.at, now);
                             }
                         }
                         Seen::Gone(id) => {
--- a/src/node/version.rs
+++ b/src/node/version.rs
@@ -70,23 +70,21 @@
         let all = known.all(|m| self.picture.members.contains(m));
         let me = self.picture.members.contains(&self.set.member);
         let raises = self.proven || (me && all && self.control.is_some());
-        let (conds, write) = if raises {
+        let (conds, key) = if raises {
             let cond = Cond {
                 key: FORMAT.into(),
                 stamp: self.picture.format_stamp,
             };
-            let format = ciborium::Value::Integer(PACKED.into());
-            (vec![cond], Write::set(FORMAT.into(), format))
+            (vec![cond], FORMAT.to_string())
         } else if !me {
-            let format = ciborium::Value::Integer(PACKED.into());
-            (vec![], Write::set(member_key(&self.set.member), format))
+            (vec![], member_key(&self.set.member))
         } else {
             return;
         };
         self.queue.push(Item {
             who: Who::Version,
             conds,
-            writes: vec![write],
+            writes: vec![Write::set(key, ciborium::Value::Integer(PACKED.into()))],
             rank: USERS,
         });
     }
