--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -493,11 +493,8 @@
                     }
                 }
             }
-            if let Some(j) = self.jobs.get_mut(id) {
-                if r.cancelled && !j.cancelled {
-                    j.cancelled = true;
-                    self.cancel(id, now);
-                }
+            if r.cancelled {
+                self.called_off(id, now);
             }
             return;
         }
@@ -558,6 +555,14 @@
         self.dirty = true;
     }
 
+    /// A job's cancellation is on record, whether its record was read or not.
+    pub fn called_off(&mut self, id: &str, now: u64) {
+        if let Some(j) = self.jobs.get_mut(id).filter(|j| !j.cancelled) {
+            j.cancelled = true;
+            self.cancel(id, now);
+        }
+    }
+
     pub fn job_gone(&mut self, id: &str) {
         self.drop_holds(id);
         if let Some(j) = self.jobs.remove(id) {
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -17,13 +17,16 @@
     /// token: a report that shows an older one may be a late copy of a machine
     /// that is gone, or come from one that our answers don't reach.
     pub(super) fn placeable(&self, m: &Machine, now: u64) -> bool {
+        let quiet = Self::ms(self.cl.workers.report_s * self.op.silent_reports);
+        let came = m.checked_in.or(m.up_since).unwrap_or(0).max(self.since);
         m.stays()
             && !matches!(m.listed, Listed::Failed | Listed::Gone)
             && m.heard.is_some()
             && m.epoch >= self.epoch
             && m.unheeded == 0
             && !m.unproven
-            && self.silent_ms(m, now) <= Self::ms(self.cl.workers.report_s * self.op.silent_reports)
+            && self.silent_ms(m, now) <= quiet
+            && now.saturating_sub(came) <= quiet
     }
 
     /// Room on a machine, everything counted that may be on it.
@@ -101,20 +104,21 @@
 
     /// Where a job's tasks are, with those that no record knows of, if its
     /// places depend on that.
-    fn zones_of(&self, j: &Job, strays: &HashMap<&str, Vec<Arc<str>>>) -> Zones {
+    /// Nothing while one may be on a machine of which a successor knows no more
+    /// than its name: it could be in any zone.
+    fn zones_of(&self, j: &Job, strays: &HashMap<&str, Vec<Arc<str>>>) -> Option<Zones> {
         let mut zones = Zones::new();
         if !(j.spec.one_zone || j.spec.spread) {
-            return zones;
+            return Some(zones);
         }
         for p in &j.placed {
-            if let Some(m) = self.fleet.get(&*p.host) {
-                *zones.entry(m.zone.clone()).or_insert(0) += 1;
-            }
+            let m = self.fleet.get(&*p.host).filter(|m| !m.zone.is_empty())?;
+            *zones.entry(m.zone.clone()).or_insert(0) += 1;
         }
         for z in strays.get(&*j.id).into_iter().flatten() {
             *zones.entry(z.clone()).or_insert(0) += 1;
         }
-        zones
+        Some(zones)
     }
 
     /// Whether the planner may run: the picture is rebuilt as far as needed.
@@ -358,7 +362,7 @@
     /// now, and the room that its others leave is not given back meanwhile: one
     /// machine that falls silent would else empty all the others of its gang,
     /// just to rent them anew.
-    fn broken(&self, j: &Job, leaving: &HashSet<&str>, now_s: f64) -> Option<JobView> {
+    fn broken(&self, j: &Job, leaving: &HashSet<&str>, now: u64, now_s: f64) -> Option<JobView> {
         // Silence alone says nothing: it may be ours.
         let sound = |p: &&Placed| p.stop.is_none() && !leaving.contains(&*p.host);
         let whole = j.placed.len() == j.spec.tasks as usize;
@@ -376,12 +380,12 @@
         let want: Vec<u32> = (0..j.spec.tasks).filter(|t| !there.contains(t)).collect();
         (!want.is_empty()).then(|| JobView {
             broken: true,
-            ..self.job_view(j, want, zones, now_s)
+            ..self.job_view(j, want, zones, now, now_s)
         })
     }
 
     /// What the planner sees of a job that has nothing special about it.
-    fn job_view(&self, j: &Job, want: Vec<u32>, zones: Zones, now_s: f64) -> JobView {
+    fn job_view(&self, j: &Job, want: Vec<u32>, zones: Zones, now: u64, now_s: f64) -> JobView {
         JobView {
             id: j.id.clone(),
             spec: j.spec.clone(),
@@ -389,7 +393,7 @@
             at_s: j.at as f64 / 1000.0,
             start_by: self.start_by(j, now_s),
             zones,
-            shun: j.shun.clone(),
+            shun: self.shunned(j, now),
             resting: false,
             broken: false,
             overdue: false,
@@ -397,6 +401,16 @@
         }
     }
 
+    /// Machines that a job is not tried on again, as it failed there. The faulty
+    /// ones are given back meanwhile, and for its own fault it rests: after that
+    /// it must not wait beside machines with room.
+    fn shunned(&self, j: &Job, now: u64) -> HashSet<Arc<str>> {
+        if now > j.rest_until + Self::ms(self.cl.workers.lease_s) {
+            return HashSet::new();
+        }
+        j.shun.clone()
+    }
+
     /// How long an array waits for machines that have its image.
     fn patience_ms(&self, j: &Job) -> u64 {
         let rates = self.flavors.iter().map(|f| f.fetch);
@@ -443,7 +457,7 @@
             let gang = j.spec.shape == Shape::Gang;
             if gang && !j.placed.is_empty() {
                 // Still there in part: the whole of it goes, then starts anew.
-                jobs.extend(self.broken(j, &leaving, now_s));
+                jobs.extend(self.broken(j, &leaving, now, now_s));
                 continue;
             }
             let mut want = j.want(if gang {
@@ -462,11 +476,14 @@
                 // Its turn is to begin, not to push all others aside.
                 want.truncate(j.spec.tasks.div_ceil(TURN_PART) as usize);
             }
+            let Some(zones) = self.zones_of(j, &strays) else {
+                continue;
+            };
             jobs.push(JobView {
                 resting: now < j.rest_until.max(j.miss_until),
                 overdue,
                 patient: !overdue && j.passed_at.is_none_or(|t| now <= t + self.patience_ms(j)),
-                ..self.job_view(j, want, self.zones_of(j, &strays), now_s)
+                ..self.job_view(j, want, zones, now, now_s)
             });
         }
         self.waiting = !jobs.is_empty();
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -41,13 +41,22 @@
             m.unproven |= was.0 && m.tenure > was.2 && answered;
         }
         m.unproven &= !proves;
+        if checkin {
+            m.checked_in = Some(now);
+            // What hears no answer for a lease begins a new session.
+            let hears = lease + Self::ms(self.cl.workers.report_s);
+            m.settle_doubt(hears, now);
+        }
         let host = m.name.clone();
         let fresh = r.epoch >= self.epoch;
         let placeable = m.stays() && fresh;
         let mine = m.on.clone();
         let mut pending = false;
         let mut room = !m.busy() && (woke || m.idle_since == Some(now) || r.pieces.is_empty());
-        for o in mine {
+        // A report without our token may be a copy from before an earlier leader
+        // cleared a task and started it again under its attempt, or of a session
+        // that is over: what it says of places proves nothing.
+        for o in mine.into_iter().filter(|_| fresh) {
             let found = self.fleet[&r.host]
                 .tasks
                 .iter()
@@ -61,6 +70,13 @@
             let Some(p) = j.place_mut(o.task) else {
                 continue;
             };
+            // A second start has the attempt of the first: what overtook the answer
+            // that carries it tells of the first one's end.
+            let overtook =
+                |tenure, serial| p.again && r.tenure == tenure && !(checkin && r.serial > serial);
+            if matches!(p.sent, Some(Sent::Answer { tenure, serial }) if overtook(tenure, serial)) {
+                continue;
+            }
             match found {
                 Some(_) if gathers => {
                     // The image of another took longer than it may wait. The
@@ -95,7 +111,7 @@
                         || match (p.ver, p.sent) {
                             // An earlier leader's start can't be taken any
                             // more once the worker has seen this epoch.
-                            (0, None) => fresh && !p.again,
+                            (0, None) => !p.again,
                             (_, None) => false,
                             // A start travels in the answer to a check-in, and
                             // the next check-in comes after it was taken or
@@ -227,7 +243,7 @@
                 if !sick && now >= j.rest_until {
                     j.tries += 1;
                     let wait = self.cl.workers.report_s * f64::from(1u32 << (j.tries - 1).min(5));
-                    j.rest_until = now + Self::ms(wait);
+                    j.rest_until = now + Self::ms(wait.min(self.cl.workers.lease_s));
                 }
             }
             Cause::NoRoom | Cause::InUse | Cause::Unknown => {
@@ -347,10 +363,12 @@
         }
         m.answered = Some(now);
         let mut expects = Vec::new();
-        if r.epoch < self.epoch {
+        let fresh = r.epoch >= self.epoch;
+        if !fresh {
             expects.push(Expect::Token(self.epoch));
         }
-        for t in &m.tasks {
+        // What was not taken in is not to be forgotten, either.
+        for t in m.tasks.iter().filter(|_| fresh) {
             if let Phase::Ended(cause) = t.phase {
                 // `done` is on record before the worker forgets it.
                 let safe = cause != Cause::Done
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -280,6 +280,16 @@
         })
     }
 
+    /// A task was done on it and that is not on record yet: if this leader ends
+    /// now, the machine's report is all that a successor has of it.
+    fn owes(&self, m: &Machine) -> bool {
+        m.tasks.iter().any(|t| {
+            let j = self.jobs.get(&t.job);
+            t.phase == Phase::Ended(Cause::Done)
+                && j.is_some_and(|j| !j.cancelled && !j.done_committed.contains(t.task))
+        })
+    }
+
     /// Gives back what is of no use any more: machines that are gone, silent,
     /// not reached by what we say, drained or idle.
     pub(super) fn reap(&mut self, now: u64) {
@@ -314,7 +324,7 @@
                 Some("the cloud took it")
             } else if m.listed == Listed::Gone && silent > quiet {
                 Some("it is not listed any more")
-            } else if m.leaving.is_some() && !m.busy() {
+            } else if m.leaving.is_some() && !m.busy() && !self.owes(m) {
                 m.leaving
             } else if Self::up(m) {
                 let idle = if m.spot {
@@ -333,6 +343,7 @@
                     && (m.wanted == 0 || now > m.wanted + peer)
                     && m.heard.is_some()
                     && !kept.contains(&m.name)
+                    && !self.owes(m)
                 {
                     Some("it is idle")
                 } else {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -132,6 +132,11 @@
     /// came back from an end, or the answers don't reach it: until it has
     /// answered a call, it gets no work.
     pub unproven: bool,
+    /// Since when one of these two doubts lasts, and in which session.
+    doubt: Option<(u64, u64)>,
+    /// When it last came by itself: what answers calls but reaches nobody loses
+    /// its lease with all that is on it.
+    pub checked_in: Option<u64>,
     /// Jobs of which a task failed here, since one was last done.
     pub failed: BTreeSet<Arc<str>>,
     /// What the planner sees of it, as long as nothing has changed.
@@ -170,6 +175,8 @@
             answered: None,
             unheeded: 0,
             unproven: false,
+            doubt: None,
+            checked_in: None,
             failed: BTreeSet::new(),
             view: None,
         }
@@ -292,6 +299,24 @@
         self.told = None;
     }
 
+    /// Ends a doubt that the same session has outlasted for `hears_ms`: answers
+    /// do reach it. Without this a machine with long tasks, which is told nothing
+    /// for minutes, would get no work for as long.
+    pub fn settle_doubt(&mut self, hears_ms: u64, now: u64) {
+        if self.unheeded == 0 && !self.unproven {
+            self.doubt = None;
+            return;
+        }
+        let (since, tenure) = *self.doubt.get_or_insert((now, self.tenure));
+        if tenure != self.tenure {
+            self.doubt = Some((now, self.tenure));
+        } else if now > since + hears_ms {
+            self.doubt = None;
+            self.unheeded = 0;
+            self.unproven = false;
+        }
+    }
+
     /// Remembers that an image is there; the oldest fall out of the cache.
     pub fn cached(&mut self, image: &str, gb: f64, flavor: Option<&Flavor>) {
         if self.images.last().is_some_and(|i| *i.0 == *image) {
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -21,6 +21,13 @@
     /// Workers it has turned away in the last few report intervals.
     #[prost(uint32, tag = "4")]
     pub turned_away: u32,
+    /// How long this process has run.
+    #[prost(uint64, tag = "5")]
+    pub age_ms: u64,
+    /// Jobs that it has lately told users to be cancelled, for a leader that the
+    /// state service does not answer.
+    #[prost(string, repeated, tag = "6")]
+    pub withdrawn: Vec<String>,
 }
 
 /// A user's request that the sender can't decide.
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -97,25 +97,13 @@
                 ));
                 self.picture.epoch = epoch;
                 self.picture.epoch_stamp = stamp;
-                info!("leading with epoch {epoch}");
-                self.control = Some(Control::new(
-                    Seat {
-                        member: self.set.member.clone(),
-                        epoch,
-                        stamp,
-                        wall: self.now.wall,
-                    },
-                    &self.set.cluster,
-                    &self.op,
-                    self.flavors.clone(),
-                    &self.picture,
-                    now,
-                ));
-                self.take_share(true);
-                self.list_next = now;
-                self.listing = None;
-                self.planning = false;
-                self.flavors_next = self.flavors_next.min(now + 1000);
+                self.seat = Some(Seat {
+                    member: self.set.member.clone(),
+                    epoch,
+                    stamp,
+                    wall: self.now.wall,
+                });
+                self.take_seat();
             }
         } else if changed {
             self.step_down("the grant has run out");
@@ -123,7 +111,33 @@
         self.lead_tick();
     }
 
+    /// A leader's mind is made from a picture that holds its own election. All
+    /// changes of leaders before it, its own earlier terms included, are older
+    /// than that, and none can follow: a picture from before it may lack places
+    /// whose starts went out.
+    pub(super) fn take_seat(&mut self) {
+        let (now, rev) = (self.now.steady, self.picture.rev);
+        let Some(seat) = self.seat.take_if(|s| s.stamp <= rev) else {
+            return;
+        };
+        info!("leading with epoch {}", seat.epoch);
+        self.control = Some(Control::new(
+            seat,
+            &self.set.cluster,
+            &self.op,
+            self.flavors.clone(),
+            &self.picture,
+            now,
+        ));
+        self.take_share(true);
+        self.list_next = now;
+        self.listing = None;
+        self.planning = false;
+        self.flavors_next = self.flavors_next.min(now + 1000);
+    }
+
     pub(super) fn step_down(&mut self, why: &str) {
+        self.seat = None;
         if self.control.take().is_some() {
             warn!("not leading any more: {why}");
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -55,11 +55,11 @@
     LoadJobs,
     Watch {
         from: u64,
-        sent: u64,
+        asked: Asked,
     },
     Barrier {
         from: u64,
-        sent: u64,
+        asked: Asked,
     },
     Txn,
     Lead(lead::Ask),
@@ -86,6 +86,7 @@
     },
     Status {
         member: String,
+        sent: u64,
     },
     Hand {
         user: u64,
@@ -93,6 +94,14 @@
     Revoke,
 }
 
+/// When something was asked for: on the clock, and in the order of events, which
+/// tells what came first within a millisecond.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Asked {
+    at: u64,
+    turn: u64,
+}
+
 /// A check-in whose answer waits a moment for starts.
 #[derive(Debug)]
 struct Filling {
@@ -125,6 +134,16 @@
 struct PeerView {
     heard: Option<u64>,
     status: Status,
+    vouch: Option<Vouch>,
+}
+
+/// A controller has told us of every cancellation that it had told users of when
+/// it was asked, as far as its process goes back.
+#[derive(Debug, Clone, Copy)]
+struct Vouch {
+    asked: u64,
+    /// Its process had begun by then.
+    began: u64,
 }
 
 /// Share of a second's calls to the cloud that rentals leave to others.
@@ -156,12 +175,16 @@
     op: Operator,
     rng: StdRng,
     now: Now,
+    /// Events so far.
+    turn: u64,
+    /// When the first of them came.
+    began: Option<u64>,
     calls: HashMap<u64, Call>,
     next_tag: u64,
     out: Vec<Action>,
     pub picture: Picture,
-    /// Read complete as of this moment.
-    fresh_at: Option<u64>,
+    /// The picture is complete as of this moment.
+    fresh: Option<Asked>,
     /// The state service last answered with something other than a refusal.
     served_at: Option<u64>,
     load: Option<Vec<String>>,
@@ -173,7 +196,11 @@
     requests: Budget,
     queue: Queue<Who>,
     lead: Lead,
+    /// Won, but the picture does not hold the election yet.
+    seat: Option<Seat>,
     pub control: Option<Control>,
+    /// Cancellations that users were told of here, and when.
+    withdrawn: BTreeMap<String, u64>,
     flavors: Arc<Vec<Flavor>>,
     flavors_next: u64,
     cloud: Budget,
@@ -205,11 +232,13 @@
         Node {
             rng: StdRng::seed_from_u64(seed),
             now: Now { steady: 0, wall: 0 },
+            turn: 0,
+            began: None,
             calls: HashMap::new(),
             next_tag: 1,
             out: vec![],
             picture: Picture::default(),
-            fresh_at: None,
+            fresh: None,
             served_at: None,
             load: None,
             load_next: 0,
@@ -224,7 +253,9 @@
                 c.state.txn_ops,
             ),
             lead: Lead::new(&set.member, life),
+            seat: None,
             control: None,
+            withdrawn: BTreeMap::new(),
             flavors: Arc::new(vec![]),
             flavors_next: 0,
             cloud: Budget::new(c.cloud.rps * 0.8),
@@ -311,8 +342,21 @@
 
     // ---- events
 
-    pub fn event(&mut self, now: Now, ev: Event) {
+    fn turn(&mut self, now: Now) {
         self.now = now;
+        self.turn += 1;
+        self.began.get_or_insert(now.steady);
+    }
+
+    fn asked(&self) -> Asked {
+        Asked {
+            at: self.now.steady,
+            turn: self.turn,
+        }
+    }
+
+    pub fn event(&mut self, now: Now, ev: Event) {
+        self.turn(now);
         match ev {
             Event::Request {
                 conn,
@@ -339,7 +383,7 @@
 
     /// To be called at least as often as `wait_ms` says.
     pub fn tick(&mut self, now: Now) {
-        self.now = now;
+        self.turn(now);
         if now.steady < self.tick_next {
             return;
         }
@@ -558,13 +602,13 @@
         match call {
             Call::LoadLead => self.loaded_page(true, &outcome),
             Call::LoadJobs => self.loaded_page(false, &outcome),
-            Call::Watch { from, sent } => {
+            Call::Watch { from, asked } => {
                 self.watching = false;
-                self.news(&outcome, from, sent, false);
+                self.news(&outcome, from, asked, false);
             }
-            Call::Barrier { from, sent } => {
+            Call::Barrier { from, asked } => {
                 self.barrier = false;
-                self.news(&outcome, from, sent, true);
+                self.news(&outcome, from, asked, true);
             }
             Call::Txn => {
                 for (who, commit) in self.queue.settle(tag, &outcome) {
@@ -646,9 +690,10 @@
                     }
                 }
             }
-            Call::Status { member } => {
+            Call::Status { member, sent } => {
                 if let Outcome::Answer { status: 200, body } = &outcome {
                     if let Ok(s) = Status::decode(body.as_slice()) {
+                        self.vouched(&member, &s, sent);
                         self.peer_status(&member, s);
                     }
                 }
@@ -659,7 +704,14 @@
                     _ => None,
                 };
                 match answer {
-                    Some(h) => self.finish(user, h.status as u16, h.retry_after, h.body),
+                    Some(h) => {
+                        if wire::says_withdrawn(&h.body) {
+                            if let Some(id) = self.users.get(&user).map(|p| p.id.clone()) {
+                                self.tells_withdrawn(&id);
+                            }
+                        }
+                        self.finish(user, h.status as u16, h.retry_after, h.body);
+                    }
                     None => self.finish(user, 503, Some(1), vec![]),
                 }
             }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+/// A process' age by its own clock may be too high by one part in so many.
+const AGE_ERROR: u64 = 500;
 /// A status heard so lately need not be asked for: of two controllers one asks.
 const STATUS_FRESH_MS: u64 = 700;
 
@@ -15,9 +17,66 @@
             served: self.served(),
             leads: self.control.as_ref().map_or(0, |c| c.epoch),
             turned_away: lately(&self.turned_away) as u32,
+            age_ms: self.began.map_or(0, |t| now - t),
+            withdrawn: vec![],
         }
     }
 
+    /// A leader that can't read the state service is told what users were told.
+    pub(super) fn status_for(&self, asker: &Status) -> Status {
+        let mut s = self.status();
+        if asker.leads > 0 && !asker.served {
+            s.withdrawn = self.withdrawn.keys().cloned().collect();
+        }
+        s
+    }
+
+    /// Users are told here that a job is cancelled. What is over has no tasks
+    /// any more.
+    pub(super) fn tells_withdrawn(&mut self, id: &str) {
+        let now = self.now.steady;
+        if self.picture.end_of(id).is_none() {
+            self.withdrawn.entry(id.to_string()).or_insert(now);
+        }
+        if let Some(c) = &mut self.control {
+            c.called_off(id, now);
+        }
+    }
+
+    /// A leader that can't read the state service asked another controller, and
+    /// was told of all cancellations that users had been told of there.
+    pub(super) fn vouched(&mut self, member: &str, s: &Status, sent: u64) {
+        let now = self.now.steady;
+        let Some(c) = &mut self.control else { return };
+        for id in &s.withdrawn {
+            c.called_off(id, now);
+        }
+        // With one that is served, or another that leads, work goes on there.
+        if s.served || s.leads > c.epoch || self.served() {
+            return;
+        }
+        if let Some(p) = self.peers.get_mut(member) {
+            p.vouch = Some(Vouch {
+                asked: sent,
+                began: now.saturating_sub(s.age_ms - s.age_ms / AGE_ERROR),
+            });
+        }
+    }
+
+    /// All cancellations that users had been told of by then are known here: from
+    /// the last read of the state service, or in an outage that all see from every
+    /// other controller, if none of them has begun anew since that read. One that
+    /// has may have told what nobody knows any more.
+    pub(super) fn known_at(&self) -> Option<u64> {
+        let read = self.fresh?.at;
+        let told = self.peers.values().map(|p| {
+            let v = p.vouch.filter(|v| v.began <= read);
+            v.map_or(0, |v| v.asked)
+        });
+        // One that is alone has told them all itself.
+        Some(told.min().unwrap_or(self.now.steady).max(read))
+    }
+
     /// Within this time every worker that can has reported.
     fn round_ms(&self) -> u64 {
         (self.set.cluster.workers.report_s * 1500.0) as u64
@@ -74,16 +133,22 @@
         self.status_next = now + 1000;
         let old = 60_000;
         self.turned_away.retain(|_, t| now < *t + old);
-        let body = self.status().encode_to_vec();
+        // By then nothing is left of a cancelled job.
+        let over = (self.set.cluster.workers.cancel_s * 2000.0) as u64;
+        self.withdrawn.retain(|_, t| now < *t + over);
+        let status = self.status();
+        let asks = status.leads > 0 && !status.served;
+        let body = status.encode_to_vec();
         for p in self.set.known.clone() {
             // One that has just asked has told the same and was answered.
             let lately = self.peers.get(&p.member).and_then(|v| v.heard);
-            if lately.is_some_and(|t| now < t + STATUS_FRESH_MS) {
+            if !asks && lately.is_some_and(|t| now < t + STATUS_FRESH_MS) {
                 continue;
             }
             self.call(
                 Call::Status {
                     member: p.member.clone(),
+                    sent: now,
                 },
                 p.address,
                 "POST",
--- a/src/node/picture.rs
+++ b/src/node/picture.rs
@@ -98,7 +98,10 @@
             let from = self.picture.rev;
             let path = self.watch_path(WATCH_MS);
             self.state(
-                Call::Watch { from, sent: now },
+                Call::Watch {
+                    from,
+                    asked: self.asked(),
+                },
                 "GET",
                 path,
                 vec![],
@@ -113,18 +116,20 @@
             self.barrier_next = now + self.read_gap_ms(USER_READS);
             let from = self.picture.rev;
             let path = self.watch_path(0);
-            self.state(Call::Barrier { from, sent: now }, "GET", path, vec![], 1000);
+            let asked = self.asked();
+            self.state(Call::Barrier { from, asked }, "GET", path, vec![], 1000);
         }
     }
 
     pub(super) fn barrier_wanted(&self) -> bool {
-        self.users.values().any(|u| {
-            matches!(u.stage, Stage::Fresh { after, rev }
-            if self.fresh_at.is_none_or(|f| f < after) || self.picture.rev < rev)
-        })
+        self.seat.is_some()
+            || self.users.values().any(|u| {
+                matches!(u.stage, Stage::Fresh { after, rev }
+                if self.fresh.is_none_or(|f| f.turn < after) || self.picture.rev < rev)
+            })
     }
 
-    pub(super) fn news(&mut self, outcome: &Outcome, from: u64, sent: u64, barrier: bool) {
+    pub(super) fn news(&mut self, outcome: &Outcome, from: u64, asked: Asked, barrier: bool) {
         let now = self.now.steady;
         match outcome {
             Outcome::Answer { status: 200, body } => {
@@ -133,8 +138,9 @@
                     return;
                 };
                 let seen = self.picture.news(n.rev, from, &n.news);
-                if self.picture.rev >= n.rev {
-                    self.fresh_at = Some(self.fresh_at.unwrap_or(0).max(sent));
+                let newer = self.fresh.is_none_or(|f| f.turn < asked.turn);
+                if newer && self.picture.rev >= n.rev {
+                    self.fresh = Some(asked);
                 }
                 for s in seen {
                     match s {
@@ -158,6 +164,7 @@
                         }
                     }
                 }
+                self.take_seat();
                 self.users_fresh();
             }
             Outcome::Answer { status: 410, .. } => {
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -48,8 +48,8 @@
                 STATUS_PATH => match Status::decode(r.body.as_slice()) {
                     Ok(s) => {
                         let member = s.member.clone();
+                        let body = self.status_for(&s).encode_to_vec();
                         self.peer_status(&member, s);
-                        let body = self.status().encode_to_vec();
                         self.answer(conn, 200, None, body);
                     }
                     Err(_) => self.answer(conn, 400, None, vec![]),
@@ -84,12 +84,15 @@
     }
 
     /// Fails for a controller that the state service refuses while another
-    /// one is served; an outage that all see takes nobody out.
+    /// one is served, or which hears none: users would keep to it and get no
+    /// answer for as long as it is cut off. An outage that all see takes nobody
+    /// out.
     pub fn up(&self) -> bool {
         if !self.picture.loaded {
             return false;
         }
-        self.served() || !self.live_peers().any(|p| p.status.served)
+        let alone = !self.peers.is_empty() && self.live_peers().next().is_none();
+        self.served() || !(alone || self.live_peers().any(|p| p.status.served))
     }
 
     pub(super) fn checkin(&mut self, conn: usize, body: &[u8]) {
@@ -98,16 +101,16 @@
             return self.answer(conn, 400, None, vec![]);
         };
         let w = &self.set.cluster.workers;
-        // How long reports are answered without a read of the state service:
-        // a worker that hears nothing afterwards ends its tasks before a
-        // cancellation that this controller can't know of runs out.
+        // How long reports are answered although there may be cancellations
+        // that this controller does not know of: a worker that hears nothing
+        // afterwards ends its tasks before they run out.
         let bound = ((w.cancel_s - w.lease_s) * 750.0) as u64;
         let sure = self.lead.sure(now);
-        let fresh = self.fresh_at;
+        let known = self.known_at();
         if let Some(c) = &mut self.control {
             if r.epoch > c.epoch {
                 self.resign("a worker has seen a higher epoch", 0);
-            } else if fresh.is_none_or(|f| now > f + bound) {
+            } else if known.is_none_or(|t| now > t + bound) {
                 return self.answer(conn, 503, Some(1), vec![]);
             } else {
                 let room = c.report(&r, true, now);
@@ -138,7 +141,7 @@
     /// Leadership is certain and the picture fresh enough to start tasks.
     pub(super) fn may_start(&self) -> bool {
         let now = self.now.steady;
-        let fresh = self.fresh_at.is_some_and(|f| now < f + WATCH_MS + STATE_MS);
+        let fresh = self.fresh.is_some_and(|f| now < f.at + WATCH_MS + STATE_MS);
         fresh && self.lead.sure(now)
     }
 
@@ -233,7 +236,10 @@
         let now = self.now.steady;
         let user = self.next_user;
         self.next_user += 1;
-        let fresh = Stage::Fresh { after: now, rev: 0 };
+        let fresh = Stage::Fresh {
+            after: self.turn,
+            rev: 0,
+        };
         let mut p = Pending {
             caller,
             id,
@@ -366,6 +372,9 @@
         name: &str,
         counts: Option<(u64, u64)>,
     ) {
+        if name == wire::WITHDRAWN {
+            self.tells_withdrawn(id);
+        }
         let body = wire::encode(&wire::JobStatus {
             id,
             status: name,
@@ -393,7 +402,7 @@
 
     /// The picture was read anew: whoever waited for that goes on.
     pub(super) fn users_fresh(&mut self) {
-        let fresh = self.fresh_at.unwrap_or(0);
+        let fresh = self.fresh.map_or(0, |f| f.turn);
         let rev_now = self.picture.rev;
         let ready: Vec<u64> = self
             .users
@@ -498,7 +507,7 @@
     }
 
     pub(super) fn user_settled(&mut self, user: u64, commit: &Commit) {
-        let now = self.now.steady;
+        let (now, turn) = (self.now.steady, self.turn);
         let Some(p) = self.users.get_mut(&user) else {
             return;
         };
@@ -510,7 +519,7 @@
             // Somebody else was there first: see what stands now.
             Commit::Conflict { rev, .. } => {
                 p.stage = Stage::Fresh {
-                    after: now,
+                    after: turn,
                     rev: *rev,
                 }
             }
@@ -572,7 +581,12 @@
                 // The same create: if the first one got through, this one
                 // fails on its condition and the job is found.
                 Ask::Submit(_) => self.create(u, &mut p),
-                _ => p.stage = Stage::Fresh { after: now, rev: 0 },
+                _ => {
+                    p.stage = Stage::Fresh {
+                        after: self.turn,
+                        rev: 0,
+                    }
+                }
             }
             self.users.insert(u, p);
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -59,6 +59,16 @@
     pub running: Option<u64>,
 }
 
+/// Whether an answer to a user calls the job cancelled.
+pub fn says_withdrawn(body: &[u8]) -> bool {
+    #[derive(Deserialize)]
+    struct Told {
+        #[serde(default)]
+        status: String,
+    }
+    decode::<Told>(body).is_some_and(|t| t.status == WITHDRAWN)
+}
+
 #[derive(Serialize)]
 pub struct Fault<'a> {
     pub error: &'a str,
@@ -246,6 +256,11 @@
             ..Write::default()
         }
     }
+    /// The key that it changes.
+    pub fn key(&self) -> &str {
+        let key = self.set.as_ref().or(self.drop.as_ref());
+        key.map_or("", String::as_str)
+    }
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -326,10 +341,7 @@
 }
 
 fn flag(m: &[(Value, Value)], k: &str) -> Option<bool> {
-    match get(m, k) {
-        None => Some(false),
-        Some(v) => v.as_bool(),
-    }
+    get(m, k)?.as_bool()
 }
 
 /// A body as people can read it, for the log.
