--- /dev/null
+++ b/tests/pipelines.rs
@@ -0,0 +1,610 @@
+//! Jobs that need others: pipelines, their cancellations, and each meeting of two
+//! troubles upon them. The stand-ins break a test when a task starts before all that its
+//! job needs is done, or when a job whose dependency was called off is still called
+//! pending.
+
+mod common;
+
+use std::sync::Arc;
+
+use ciborium::Value;
+use common::{kept, submission, Sim, Writes};
+use gaugesill::control::{Control, Seat};
+use gaugesill::deps::{Deps, Known, Then};
+use gaugesill::job::{Final, Record, Run, Shape, Spec, Urgency};
+use gaugesill::settings::Operator;
+use gaugesill::store::{Live, Picture};
+use gaugesill::wire;
+
+/// A submission that names others.
+fn needing(mut v: Value, needs: &[&str]) -> Value {
+    if let Value::Map(m) = &mut v {
+        let list = needs.iter().map(|n| Value::Text((*n).into())).collect();
+        m.push((Value::Text("waitsOn".into()), Value::Array(list)));
+    }
+    v
+}
+
+fn array(id: &str, tasks: u32, needs: &[&str]) -> Value {
+    needing(submission(id, "sweep", tasks, 2.0, "best_effort"), needs)
+}
+
+fn gang(id: &str, tasks: u32, needs: &[&str]) -> Value {
+    needing(submission(id, "group", tasks, 2.0, "normal"), needs)
+}
+
+const SPLIT: &str = "run-000001";
+const MATCH: [&str; 2] = ["run-000002", "run-000003"];
+const SCORE: &str = "run-000004";
+const REPORT: &str = "run-000005";
+const ALL: [&str; 5] = [SPLIT, MATCH[0], MATCH[1], SCORE, REPORT];
+
+/// A pipeline as the operators describe it, submitted at one controller after the other.
+fn pipeline(s: &mut Sim) {
+    let stages = [
+        (array(SPLIT, 3, &[]), 3000),
+        (array(MATCH[0], 4, &[SPLIT]), 4000),
+        (array(MATCH[1], 3, &[SPLIT]), 3000),
+        (gang(SCORE, 2, &[MATCH[0], MATCH[1]]), 3000),
+        (array(REPORT, 2, &[SPLIT, SCORE]), 1500),
+    ];
+    for (n, (v, run)) in stages.into_iter().enumerate() {
+        let slot = s.submit(n % 3, &v, run);
+        assert!(s.until(3000, |s| s.answer(slot).is_some()));
+        assert_eq!(s.answer(slot), Some((201, "pending".into())));
+    }
+}
+
+fn started(s: &mut Sim) {
+    s.run(1000);
+    pipeline(s);
+}
+
+fn status(s: &mut Sim, node: usize, id: &str) -> Option<(u16, String)> {
+    let slot = s.ask(node, "GET", &format!("/work/{id}"), vec![]);
+    s.until(2500, |s| s.answer(slot).is_some());
+    s.answer(slot)
+}
+
+/// The same answer everywhere.
+fn everywhere(s: &mut Sim, id: &str, want: &str) {
+    for n in 0..3 {
+        let got = status(s, n, id);
+        assert_eq!(
+            got,
+            Some((200, want.into())),
+            "{id} on c{n}\n{}",
+            s.trace.join("\n")
+        );
+    }
+}
+
+fn called_off(s: &mut Sim, id: &str) -> String {
+    for n in 0..60 {
+        let slot = s.ask(n % 3, "POST", &format!("/work/{id}/cancel"), vec![]);
+        if s.until(1500, |s| s.answer(slot).is_some_and(|a| a.0 == 200)) {
+            return s.answer(slot).expect("an answer").1;
+        }
+    }
+    panic!("nobody calls {id} off\n{}", s.trace.join("\n"));
+}
+
+#[test]
+fn a_pipeline_runs_in_its_order() {
+    let mut s = Sim::new();
+    started(&mut s);
+    s.run(300);
+    everywhere(&mut s, REPORT, "pending");
+    s.finish(90_000);
+    for id in ALL {
+        everywhere(&mut s, id, "done");
+    }
+    s.assert_sound();
+    kept("pipeline", &s.trace);
+}
+
+/// The leader crashes at each moment of a pipeline's life, and the others with it at
+/// some; what the successor knows of jobs that are over is looked up.
+#[test]
+fn the_leader_crashes_at_every_step_of_a_pipeline() {
+    for k in 0..40u64 {
+        let mut s = Sim::new();
+        started(&mut s);
+        s.run(600 * k);
+        if k % 3 == 2 {
+            for n in 0..3 {
+                s.crash(n, 200 + 300 * ((k + n as u64) % 4));
+            }
+        } else if let Some(l) = s.leader() {
+            s.crash(l, if k % 2 == 0 { 150 } else { 3000 });
+        }
+        s.finish(150_000);
+        s.assert_sound();
+        s.assert_known();
+    }
+}
+
+/// What may be named: only jobs that were accepted, by any controller a moment ago, or
+/// long ago and over. What can't be looked up is put off.
+#[test]
+fn what_a_submission_may_name() {
+    let mut s = Sim::new();
+    s.run(1000);
+    let ask = |s: &mut Sim, n: usize, v: &Value| {
+        let slot = s.ask(n, "POST", "/work", wire::encode(v));
+        assert!(s.until(5000, |s| s.answer(slot).is_some()));
+        s.answer(slot).expect("an answer")
+    };
+    for bad in [
+        Value::Text(SPLIT.into()),
+        Value::Integer(3.into()),
+        Value::Array(vec![Value::Integer(3.into())]),
+        Value::Array(vec![Value::Text("job-1".into())]),
+        Value::Array(vec![Value::Null]),
+    ] {
+        let mut v = submission("run-000009", "sweep", 1, 1.0, "normal");
+        if let Value::Map(m) = &mut v {
+            m.push((Value::Text("waitsOn".into()), bad));
+        }
+        assert_eq!(ask(&mut s, 0, &v).0, 400, "{v:?}");
+    }
+    // Never accepted; itself.
+    for n in 0..3 {
+        assert_eq!(
+            ask(&mut s, n, &array("run-000009", 1, &["run-000077"])).0,
+            422
+        );
+        assert_eq!(
+            ask(&mut s, n, &array("run-000009", 1, &["run-000009"])).0,
+            422
+        );
+    }
+    let mut none = submission("run-000008", "sweep", 1, 1.0, "normal");
+    if let Value::Map(m) = &mut none {
+        m.push((Value::Text("waitsOn".into()), Value::Null));
+    }
+    s.submit(0, &none, 500);
+    // Another controller has accepted it a millisecond ago.
+    let first = s.submit(1, &array(SPLIT, 1, &[]), 2000);
+    assert!(s.until(1000, |s| s.answer(first).is_some()));
+    let second = s.submit(2, &array(MATCH[0], 1, &[SPLIT, SPLIT]), 2000);
+    assert!(s.until(1000, |s| s.answer(second).is_some()));
+    assert_eq!(s.answer(second), Some((201, "pending".into())));
+    assert_eq!(s.jobs[MATCH[0]].needs.len(), 1, "named twice counts once");
+    s.finish(60_000);
+    // Long over, and a controller that has just begun: looked up, without having read
+    // all that is over.
+    for n in 0..3 {
+        s.crash(n, 100);
+    }
+    assert!(s.until(9000, |s| s.leader().is_some()));
+    s.run(3000);
+    let late = s.submit(2, &array(REPORT, 1, &[MATCH[0]]), 1000);
+    assert!(s.until(3000, |s| s.answer(late).is_some()));
+    assert_eq!(s.answer(late), Some((201, "pending".into())));
+    // A repetition gets the present state, whatever has become of what it names.
+    assert_eq!(
+        ask(&mut s, 1, &array(MATCH[0], 1, &["run-000077"])),
+        (200, "done".into())
+    );
+    s.finish(60_000);
+    // What can't be looked up is neither accepted nor refused.
+    s.state_out = true;
+    s.run(4000);
+    assert_eq!(
+        ask(&mut s, 0, &array("run-000009", 1, &["run-000077"])).0,
+        503
+    );
+    s.state_out = false;
+    s.run(3000);
+    assert_eq!(
+        ask(&mut s, 0, &array("run-000009", 1, &["run-000077"])).0,
+        422
+    );
+    s.assert_sound();
+}
+
+/// Names beyond what a record can hold are refused with their reason.
+#[test]
+fn too_many_names() {
+    let mut s = Sim::new();
+    s.next = r#","next":{"value_kb":2.0,"txn_ops":4,"write_rps":15.0}"#.into();
+    for n in 0..3 {
+        s.crash(n, 1);
+    }
+    s.run(1000);
+    let names: Vec<String> = (0..300).map(|n| format!("run-9{n:05}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let slot = s.ask(0, "POST", "/work", wire::encode(&array(SPLIT, 1, &names)));
+    s.run(300);
+    let (code, _, body) = s.answers[slot].clone().expect("an answer");
+    assert_eq!(code, 400);
+    assert!(wire::readable(&body).contains("too long to be kept"));
+}
+
+/// A job of a pipeline is called off at each moment: all that need it are cancelled with
+/// it, at once and everywhere, and nothing that does not need it; if it is done by then,
+/// they go on.
+#[test]
+fn a_cancellation_carries_to_all_dependents() {
+    for k in 0..45u64 {
+        let mut s = Sim::new();
+        started(&mut s);
+        s.run(500 * (k / 3));
+        let (id, after): (&str, &[&str]) = match k % 3 {
+            0 => (SPLIT, &[MATCH[0], MATCH[1], SCORE, REPORT]),
+            1 => (MATCH[0], &[SCORE, REPORT]),
+            _ => (SCORE, &[REPORT]),
+        };
+        let told = called_off(&mut s, id);
+        for x in after {
+            if told == "withdrawn" {
+                everywhere(&mut s, x, "withdrawn");
+            }
+        }
+        // One that names it afterwards is accepted, and cancelled with it.
+        let late = s.submit((k % 3) as usize, &array("run-000007", 1, &[id]), 500);
+        assert!(s.until(3000, |s| s.answer(late).is_some()));
+        assert_eq!(s.answer(late).map(|a| a.0), Some(201));
+        if told == "withdrawn" {
+            everywhere(&mut s, "run-000007", "withdrawn");
+        }
+        s.finish(120_000);
+        for x in after.iter().chain([&"run-000007"]) {
+            everywhere(&mut s, x, &told);
+        }
+        s.assert_sound();
+        s.assert_known();
+    }
+}
+
+/// A cancellation meets the end of the last task of what others need, and the submission
+/// of one that names it, in steps of milliseconds: one outcome, everywhere.
+#[test]
+fn a_cancellation_meets_an_end_and_a_submission() {
+    let begin = |s: &mut Sim| {
+        s.run(1000);
+        s.submit(0, &array(SPLIT, 2, &[]), 3000);
+        s.submit(1, &array(MATCH[0], 1, &[SPLIT]), 1000);
+    };
+    let mut s = Sim::new();
+    begin(&mut s);
+    assert!(s.until(60_000, |s| s.jobs[SPLIT].done.len() == 2));
+    let end = s.now;
+    let mut withdrawn = 0;
+    for k in 0..48u64 {
+        let mut s = Sim::new();
+        begin(&mut s);
+        s.run(end - 40 + 2 * k - s.now);
+        let slot = s.ask(
+            k as usize % 3,
+            "POST",
+            &format!("/work/{SPLIT}/cancel"),
+            vec![],
+        );
+        s.run(k % 5);
+        let late = s.submit((k as usize + 1) % 3, &array(SCORE, 1, &[SPLIT]), 500);
+        assert!(s.until(9000, |s| s.answer(slot).is_some()
+            && s.answer(late).is_some()));
+        let (code, told) = s.answer(slot).expect("an answer");
+        assert_eq!(code, 200);
+        withdrawn += usize::from(told == "withdrawn");
+        s.finish(60_000);
+        for id in [SPLIT, MATCH[0], SCORE] {
+            everywhere(&mut s, id, &told);
+        }
+        s.assert_sound();
+    }
+    assert!((1..48).contains(&withdrawn), "both orders were met");
+}
+
+/// While a cancellation spreads over a chain and a fan, the leader crashes, all do, or the
+/// state service goes out; a controller that has just begun tells the same.
+#[test]
+fn a_cancellation_spreads_across_crashes() {
+    for k in 0..10u64 {
+        let mut s = Sim::new();
+        s.run(1000);
+        s.submit(0, &array("run-000100", 1, &[]), 200_000);
+        s.run(100);
+        for n in 0..24u32 {
+            let id = format!("run-{:06}", 101 + n);
+            // A chain of twelve, and twelve beside one another.
+            let before = format!("run-{:06}", if n < 12 { 100 + n } else { 100 });
+            s.submit((n % 3) as usize, &array(&id, 1, &[&before]), 500);
+            s.run(60);
+        }
+        s.run(400);
+        assert_eq!(called_off(&mut s, "run-000100"), "withdrawn");
+        s.run(35 * k);
+        match k % 4 {
+            0 => {
+                let l = s.leader().expect("a leader");
+                s.crash(l, 400);
+            }
+            1 => (0..3).for_each(|n| s.crash(n, 300 + 200 * n as u64)),
+            2 => s.state_out = true,
+            _ => s.writes = Writes::Late(2, 3000),
+        }
+        s.run(4000);
+        if s.state_out {
+            s.state_out = false;
+            let now = s.now;
+            s.state.refresh(now);
+        }
+        s.run(2500);
+        for n in [101, 111, 112, 113, 124] {
+            everywhere(&mut s, &format!("run-{n:06}"), "withdrawn");
+        }
+        s.writes = Writes::Answered;
+        s.finish(60_000);
+        s.assert_sound();
+        s.assert_known();
+    }
+}
+
+/// A job that waits holds nothing of its team's limit: others run beside it.
+#[test]
+fn what_waits_holds_nothing() {
+    let mut s = Sim::with_team(r#"{"name":"t","cpus_max":8.0}"#, 8.0);
+    s.run(1000);
+    s.submit(0, &array(SPLIT, 1, &[]), 30_000);
+    s.run(100);
+    s.submit(0, &gang(SCORE, 4, &[SPLIT]), 2000);
+    s.submit(0, &array(REPORT, 3, &[]), 2000);
+    assert!(
+        s.until(20_000, |s| s.jobs[REPORT].done.len() == 3),
+        "{}",
+        s.trace.join("\n")
+    );
+    assert_eq!(s.jobs[SCORE].begun, None);
+    s.finish(90_000);
+    s.assert_sound();
+}
+
+fn spec(needs: &[&str], urgency: Urgency, expected_s: f64, due_s: Option<f64>) -> Spec {
+    Spec {
+        class: "c".into(),
+        team: "t".into(),
+        shape: Shape::Array,
+        urgency,
+        tasks: 1,
+        cpus: 1.0,
+        gpus: 0.0,
+        mem: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        image: "img".into(),
+        image_gb: 1.0,
+        expected_s,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s,
+        needs: needs.iter().map(|n| (*n).to_string()).collect(),
+    }
+}
+
+fn control() -> Control {
+    let text = r#"{"teams":[{"name":"t"}],"workers":{"report_s":3.0,"lease_s":36.0,
+        "gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0},
+        "state":{"rps":9.0,"write_rps":9.0,"value_kb":16.0,"txn_ops":20},
+        "cloud":{"rps":9.0,"list_lag_s":1.0},
+        "limits":{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}}"#;
+    Control::new(
+        Seat {
+            member: "c0".into(),
+            epoch: 2,
+            stamp: 3,
+            wall: 1_000_000,
+        },
+        &serde_json::from_str(text).expect("settings"),
+        &Operator::default(),
+        Arc::new(vec![]),
+        &Picture::default(),
+        1000,
+    )
+}
+
+fn see(c: &mut Control, id: &str, spec: Spec) {
+    let live = Live {
+        record: Arc::new(Record::new(spec, 1_000_000)),
+        stamp: 1,
+    };
+    c.job_seen(id, &live, 1000);
+}
+
+/// The urgency and the deadline of a chain's last job order all before it, less the work
+/// still between, in whatever order the jobs are seen, and at once when the last comes
+/// late. Their records keep what their users asked for.
+#[test]
+fn the_critical_path_orders_what_it_needs() {
+    let low = |needs: &[&str], s| spec(needs, Urgency::Low, s, None);
+    let chain = [
+        ("run-1", low(&[], 15.0)),
+        ("run-2", low(&["run-1"], 25.0)),
+        ("run-3", low(&["run-1"], 90.0)),
+        ("run-4", low(&["run-2", "run-3"], 20.0)),
+        ("run-5", spec(&["run-4"], Urgency::High, 8.0, Some(300.0))),
+    ];
+    for order in [[0, 1, 2, 3, 4], [4, 3, 2, 1, 0], [2, 4, 0, 3, 1]] {
+        let mut c = control();
+        for i in order {
+            let (id, spec) = &chain[i];
+            see(&mut c, id, spec.clone());
+        }
+        // run-5 is due at 1300, so run-4 by 1292, run-3 by 1272, run-1 by 1182.
+        let s = c.snapshot(1000, 1_000_000);
+        assert_eq!(s.jobs.len(), 1, "the others wait");
+        assert_eq!(s.teams["t"].ask_cpus, 1.0, "and ask for nothing");
+        assert_eq!(&*s.jobs[0].id, "run-1");
+        assert_eq!(s.jobs[0].spec.urgency, Urgency::High);
+        assert_eq!(s.jobs[0].start_by, Some(1182.0 - 15.0));
+        c.needs_met("run-2", 1_050_000);
+        c.needs_met("run-3", 1_050_000);
+        let s = c.snapshot(2000, 1_060_000);
+        let by = |id: &str| {
+            s.jobs
+                .iter()
+                .find(|j| *j.id == *id)
+                .and_then(|j| j.start_by)
+        };
+        assert_eq!(by("run-2"), Some(1272.0 - 25.0));
+        assert_eq!(by("run-3"), Some(1272.0 - 90.0));
+    }
+    // A leader that rewrites such a record writes the job's own urgency.
+    let mut c = control();
+    for (id, spec) in &chain {
+        see(&mut c, id, spec.clone());
+    }
+    c.called_off("run-1", 1500);
+    c.tick(9000, 5, 9);
+    let rewritten = c.take_effects().into_iter().find_map(|e| match e {
+        gaugesill::control::Effect::Write { job, writes, .. } if job == "run-1" => Some(writes),
+        _ => None,
+    });
+    assert!(rewritten.is_some());
+}
+
+/// What has begun keeps its own urgency on record, lifted or not.
+#[test]
+fn a_lifted_job_keeps_its_own_urgency_on_record() {
+    let mut c = control();
+    let mut record = Record::new(spec(&[], Urgency::Low, 15.0, None), 1_000_000);
+    record.runs = vec![Run(0, 1, 1, "m-0".into())];
+    record.spec.tasks = 2;
+    record.next = 2;
+    let live = Live {
+        record: Arc::new(record),
+        stamp: 1,
+    };
+    c.job_seen("run-1", &live, 1000);
+    see(
+        &mut c,
+        "run-2",
+        spec(&["run-1"], Urgency::High, 8.0, Some(60.0)),
+    );
+    assert_eq!(c.jobs["run-1"].spec.urgency, Urgency::High);
+    let r = wire::Report {
+        host: "m-0".into(),
+        endpoint: "10.1.0.1:9000".into(),
+        flavor: "f8".into(),
+        hall: "a".into(),
+        loaner: false,
+        tenure: 1,
+        serial: 1,
+        epoch: 2,
+        notice_s: None,
+        pieces: vec![wire::Piece {
+            piece: "run-1/0".into(),
+            attempt: 1,
+            status: "ended".into(),
+            cause: Some("done".into()),
+            kept: None,
+        }],
+    };
+    c.report(&r, true, 2000);
+    c.tick(9000, 5, 9);
+    let written = c.take_effects().into_iter().find_map(|e| match e {
+        gaugesill::control::Effect::Write { writes, .. } => writes[0].data.clone(),
+        _ => None,
+    });
+    let record = Record::from_value(&written.expect("a change")).expect("a record");
+    assert_eq!(record.spec.urgency, Urgency::Low);
+    assert!(record.done.contains(0));
+}
+
+/// Chains of thousands and fans of thousands: no recursion, and a change costs what hangs
+/// on it.
+#[test]
+fn deep_chains_and_wide_fans() {
+    let name = |n: usize| format!("run-{n:06}");
+    let mut d = Deps::default();
+    let mut then = Vec::new();
+    let n = 20_000;
+    for i in 0..n {
+        let needs: Vec<String> = if i == 0 { vec![] } else { vec![name(i - 1)] };
+        d.add(&name(i), &needs, |_| Known::Live(false), &mut then);
+        let fan = format!("run-9{i:06}");
+        d.add(&fan, &[name(0)], |_| Known::Live(false), &mut then);
+    }
+    assert!(then.is_empty());
+    assert!(!d.unsure(&name(n - 1)));
+    d.cancelled(&name(0), &mut then);
+    assert_eq!(then.len(), 2 * n - 1);
+    assert!(d.has_fallen(&name(n - 1)));
+    // The same again tells nothing new.
+    then.clear();
+    d.cancelled(&name(0), &mut then);
+    assert!(then.is_empty());
+    // One that names a fallen one falls.
+    d.add("run-7", &[name(n - 1)], |_| Known::Live(false), &mut then);
+    assert_eq!(then, [Then::Fallen("run-7".into())]);
+}
+
+/// What a live job needs and nobody remembers is looked up; until then nothing is told of
+/// those that hang on it, and they wait.
+#[test]
+fn ends_that_nobody_remembers() {
+    let mut d = Deps::default();
+    let mut then = Vec::new();
+    let known = |n: &str| match n {
+        "run-1" => Known::Unknown,
+        _ => Known::Live(false),
+    };
+    d.add("run-2", &["run-1".into()], known, &mut then);
+    d.add("run-3", &["run-2".into()], known, &mut then);
+    d.add("run-4", &[], known, &mut then);
+    assert_eq!(d.unknown().iter().collect::<Vec<_>>(), ["run-1"]);
+    assert!(d.unsure("run-2") && d.unsure("run-3") && !d.unsure("run-4"));
+    d.done("run-1", &mut then);
+    assert_eq!(then, [Then::Ready("run-2".into())]);
+    assert!(!d.unsure("run-3") && d.waits("run-3") && !d.waits("run-2"));
+    // Seen before what it needs, as a read in the order of names may have it.
+    then.clear();
+    d.add("run-5", &["run-6".into()], |_| Known::Unknown, &mut then);
+    d.add("run-6", &[], known, &mut then);
+    assert!(!d.unsure("run-5") && d.waits("run-5"));
+    d.cancelled("run-6", &mut then);
+    assert_eq!(then, [Then::Fallen("run-5".into())]);
+    d.remove("run-5");
+    d.remove("run-6");
+    assert!(!d.has_fallen("run-5"));
+}
+
+/// Finals are kept as ever: one that is withdrawn long after is still found, and told of
+/// those that named it.
+#[test]
+fn the_picture_tells_what_follows() {
+    let mut p = Picture::default();
+    p.rev = 1;
+    let set = |key: &str, data: Value, stamp| wire::Change {
+        set: Some(key.into()),
+        data: Some(data),
+        drop: None,
+        stamp,
+    };
+    let job = |needs: &[&str]| Record::new(spec(needs, Urgency::Low, 9.0, None), 7).to_value(1);
+    p.news(
+        3,
+        1,
+        &[
+            set("g/j/run-2", job(&["run-1"]), 2),
+            set("g/j/run-3", job(&["run-2"]), 3),
+        ],
+    );
+    assert!(p.deps.unsure("run-3"));
+    p.ended("run-1", Final::Withdrawn);
+    assert_eq!(
+        p.take_then(),
+        [Then::Fallen("run-2".into()), Then::Fallen("run-3".into())]
+    );
+    assert!(p.called_off("run-3") && !p.deps.unsure("run-3"));
+    assert_eq!(
+        p.known("run-2"),
+        Known::Live(false),
+        "its own record says nothing yet"
+    );
+}
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,526 @@
+//! Two versions at once, and limits of the state service that fall. The fixtures were
+//! written by the version in production (`tests/fixtures/make.rs`).
+
+mod common;
+
+use std::sync::Arc;
+
+use ciborium::Value;
+use common::{kept, submission, Low, OldRecord, Sim};
+use gaugesill::control::{Control, Effect, Seat};
+use gaugesill::job::{json_len, Final, Ranges, Record, Run, Shape};
+use gaugesill::mesh::{Hand, Handed, Status};
+use gaugesill::packed;
+use gaugesill::plan::{Decision, Place};
+use gaugesill::settings::{Cluster, Operator, Settings};
+use gaugesill::state::Commit;
+use gaugesill::store::{LeaderKey, Live, Picture};
+use gaugesill::wire::{self, Change};
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Name, readable form and bytes.
+fn fixtures() -> Vec<(String, String, Vec<u8>)> {
+    let text = include_str!("fixtures/production.txt");
+    let lines: Vec<&str> = text.lines().map(str::trim).collect();
+    let byte = |h: &[u8]| {
+        let digits = std::str::from_utf8(h).expect("digits");
+        u8::from_str_radix(digits, 16).expect("a byte")
+    };
+    lines
+        .chunks(3)
+        .map(|c| {
+            let bytes = c[2].as_bytes().chunks(2).map(byte).collect();
+            (c[0].into(), c[1].into(), bytes)
+        })
+        .collect()
+}
+
+fn fixture(name: &str) -> (String, Vec<u8>) {
+    let found = fixtures().into_iter().find(|f| f.0 == name);
+    let f = found.unwrap_or_else(|| panic!("no fixture {name}"));
+    (f.1, f.2)
+}
+
+/// What the version in production stored is read, and what is written before the format is
+/// raised has the same bytes.
+#[test]
+fn records_of_the_version_in_production() {
+    for name in ["fresh", "array", "gang", "cancelled"] {
+        let (readable, bytes) = fixture(&format!("record {name}"));
+        let v: Value = wire::decode(&bytes).expect("a value");
+        let r = Record::from_value(&v).expect("a record");
+        assert_eq!(serde_json::to_string(&r).expect("text"), readable);
+        assert_eq!(wire::encode(&r.to_value(0)), bytes, "{name}");
+        assert!(r.spec.needs.is_empty());
+        // Packed, it says the same, and that version can't take it for an empty one.
+        let p = r.to_value(1);
+        assert_eq!(Record::from_value(&p).as_ref(), Some(&r));
+        assert!(p.deserialized::<OldRecord>().is_err());
+    }
+    for (name, f) in [("done", Final::Done), ("withdrawn", Final::Withdrawn)] {
+        let (_, bytes) = fixture(&format!("final {name}"));
+        assert_eq!(wire::encode(&f.to_value()), bytes);
+        let v: Value = wire::decode(&bytes).expect("a value");
+        assert_eq!(Final::from_value(&v), Some(f));
+    }
+    let (_, bytes) = fixture("leader");
+    let l: LeaderKey = wire::decode(&bytes).expect("a key");
+    assert_eq!((l.member.as_str(), l.epoch), ("worker-1", 7));
+    assert_eq!(wire::encode(&l), bytes);
+}
+
+#[test]
+fn messages_of_the_version_in_production() {
+    let (readable, bytes) = fixture("status");
+    let s = Status::decode(bytes.as_slice()).expect("a status");
+    assert_eq!(format!("{s:?}"), readable);
+    assert_eq!(s.encode_to_vec(), bytes);
+    let (readable, bytes) = fixture("hand");
+    let h = Hand::decode(bytes.as_slice()).expect("a request");
+    assert_eq!(format!("{h:?}"), readable);
+    assert_eq!(h.encode_to_vec(), bytes);
+    let (readable, bytes) = fixture("handed");
+    let h = Handed::decode(bytes.as_slice()).expect("an answer");
+    assert_eq!(format!("{h:?}"), readable);
+    assert_eq!(h.encode_to_vec(), bytes);
+}
+
+/// Keys that tell of versions lie where the one before passes over them: it looks at
+/// `g/j/`, `g/f/`, `g/l/leader` and `g/l/epoch`, and at nothing else below `g/`.
+#[test]
+fn version_keys_change_nothing_else() {
+    let mut p = Picture::default();
+    p.rev = 1;
+    let set = |key: &str, n: u64, stamp| Change {
+        set: Some(key.into()),
+        data: Some(Value::Integer(n.into())),
+        drop: None,
+        stamp,
+    };
+    let seen = p.news(
+        4,
+        1,
+        &[
+            set("g/l/m/worker-1", 1, 2),
+            set("g/l/format", 1, 3),
+            set("g/l/epoch", 7, 4),
+        ],
+    );
+    assert!(seen.is_empty());
+    assert_eq!((p.format, p.epoch), (1, 7));
+    assert!(p.members.contains("worker-1") && p.jobs.is_empty() && p.leader.is_none());
+    // It never goes down.
+    p.news(5, 4, &[set("g/l/format", 0, 5)]);
+    assert_eq!(p.format, 1);
+}
+
+/// Whatever has ended and wherever the rest is: packed and unpacked it is the same, and
+/// what ends makes no record longer than was allowed for.
+#[test]
+fn packed_records() {
+    let mut rng = StdRng::seed_from_u64(5);
+    for round in 0..400 {
+        let tasks = rng.random_range(1..300u32);
+        let mut done = Ranges::default();
+        let mut runs: Vec<Run> = Vec::new();
+        for t in 0..tasks {
+            match rng.random_range(0..4) {
+                0 => done.insert(t),
+                1 => {}
+                _ => {
+                    let host = format!("m-{:06}", rng.random_range(0..1 + round % 40));
+                    let attempt = rng.random_range(1..4);
+                    match runs.last_mut() {
+                        Some(r) if r.0 + r.1 == t && r.2 == attempt && r.3 == host => r.1 += 1,
+                        _ => runs.push(Run(t, 1, attempt, host)),
+                    }
+                }
+            }
+        }
+        let text = packed::pack(tasks, &done, &runs).expect("names that suit");
+        assert_eq!(packed::unpack(tasks, &text), Some((done, runs)), "{text}");
+    }
+    for (tasks, text) in [
+        (3, "|m-|1*4"),
+        (3, "0 9|m-|"),
+        (3, "=f|m-|"),
+        (3, "|m-|1*x"),
+        (3, "0 1"),
+        (9, "|m-|>4 1 >2 1"),
+    ] {
+        assert_eq!(packed::unpack(tasks, text), None, "{text}");
+    }
+    let odd = [Run(0, 1, 1, "m 1".into())];
+    assert_eq!(packed::pack(2, &Ranges::default(), &odd), None);
+    let both = Ranges(vec![(0, 0)]);
+    let runs = [Run(0, 1, 1, "m-1".into())];
+    assert_eq!(packed::pack(2, &both, &runs), None, "done and placed");
+}
+
+/// How much fits into 2 KB: a gang of 32 on machines of its own, and an array of 240 tasks
+/// with a machine for each, in whatever order they end.
+#[test]
+fn what_fits_into_two_kilobytes() {
+    let (_, bytes) = fixture("record array");
+    let v: Value = wire::decode(&bytes).expect("a value");
+    let mut r = Record::from_value(&v).expect("a record");
+    let spread = |n: u32| -> Vec<Run> {
+        let host = |t: u32| format!("m-{:06}", (t * 37) % 1700);
+        (0..n).map(|t| Run(t, 1, 1, host(t))).collect()
+    };
+    r.done = Ranges::default();
+    r.spec.shape = Shape::Gang;
+    r.spec.tasks = 32;
+    r.runs = spread(32);
+    assert!(json_len(&r.to_value(0)) < 2048, "a gang fits even unpacked");
+    assert!(json_len(&r.to_value(1)) < 800);
+    r.spec.shape = Shape::Array;
+    r.spec.tasks = 240;
+    r.runs = spread(240);
+    assert!(json_len(&r.to_value(0)) > 4096);
+    assert!(json_len(&r.to_value(1)) < 2048);
+    for t in (0..240).step_by(2) {
+        r.done.insert(t);
+        r.runs.retain(|x| x.0 != t);
+        assert!(json_len(&r.to_value(1)) < 2048);
+    }
+}
+
+const NEXT: &str = r#","next":{"value_kb":2.0,"txn_ops":4,"write_rps":15.0}"#;
+const LOW: Low = Low {
+    value: 2048,
+    ops: 4,
+    rate: 15.0,
+};
+
+fn with_next() -> Sim {
+    with_limits(NEXT)
+}
+
+fn with_limits(next: &str) -> Sim {
+    let mut s = Sim::new();
+    s.next = next.into();
+    for n in 0..3 {
+        s.crash(n, 1);
+    }
+    s.trace.clear();
+    s.run(5);
+    s
+}
+
+fn format_of(s: &Sim) -> Option<u64> {
+    let v = s.state.keys.get("g/l/format")?;
+    v.0.as_integer().and_then(|i| u64::try_from(i).ok())
+}
+
+fn jobs(s: &mut Sim) {
+    s.submit(
+        0,
+        &submission("run-000001", "sweep", 5, 4.0, "best_effort"),
+        9000,
+    );
+    s.submit(
+        1,
+        &submission("run-000002", "group", 3, 6.0, "normal"),
+        12_000,
+    );
+}
+
+/// A rolling upgrade: processes are killed one by one and come back new; one dies before
+/// its turn and comes back old; leaders change, old and new. Nothing is written that the
+/// old version can't read before all are new (the stand-ins look), and what it stored is
+/// gone on with.
+#[test]
+fn a_rolling_upgrade() {
+    for k in 0..8u64 {
+        let mut s = with_next();
+        s.state.tells_format = true;
+        s.old.extend([0, 1, 2]);
+        s.run(1000);
+        jobs(&mut s);
+        s.run(4000 + 700 * k);
+        let order = [[0, 1, 2], [2, 0, 1], [1, 2, 0]][k as usize % 3];
+        for (turn, n) in order.into_iter().enumerate() {
+            s.old.remove(&n);
+            s.note(format!("c{n} is upgraded"));
+            s.crash(n, 1500);
+            s.run(2500);
+            if turn == 0 {
+                // Another one, also the leader, dies before its turn.
+                s.crash(order[1], 400);
+                s.submit(
+                    n,
+                    &submission(&format!("run-0001{k:02}"), "sweep", 2, 4.0, "normal"),
+                    4000,
+                );
+            }
+            s.run(2000 + 200 * k);
+            if turn < 2 {
+                assert_eq!(format_of(&s), None);
+            }
+        }
+        assert!(
+            s.until(20_000, |s| format_of(s) == Some(1)),
+            "{}",
+            s.trace.join("\n")
+        );
+        s.state.low = Some(LOW);
+        s.finish(120_000);
+        s.assert_sound();
+        s.assert_known();
+        assert_eq!(s.state.too_large, 0);
+        if k == 1 {
+            kept("rolling-upgrade", &s.trace);
+        }
+    }
+}
+
+/// A controller that is down or cut off is not known to be new, so the format waits for it;
+/// a submission that names others comes only after the upgrade, and is proof as well. So is
+/// a refusal for a lower limit.
+#[test]
+fn proofs_that_all_are_new() {
+    let mut s = with_next();
+    s.crash(2, 60_000);
+    s.run(12_000);
+    assert_eq!(format_of(&s), None);
+    s.submit(
+        0,
+        &submission("run-000001", "sweep", 1, 4.0, "normal"),
+        3000,
+    );
+    s.run(100);
+    let v = submission("run-000002", "sweep", 1, 4.0, "normal");
+    let Value::Map(mut m) = v else {
+        panic!("a map")
+    };
+    let names = Value::Array(vec![Value::Text("run-000001".into())]);
+    m.push((Value::Text("waitsOn".into()), names));
+    let slot = s.submit(1, &Value::Map(m), 1000);
+    assert!(s.until(2000, |s| format_of(s) == Some(1)));
+    assert_eq!(s.answer(slot), Some((201, "pending".into())));
+    s.finish(60_000);
+    s.assert_sound();
+
+    let mut s = with_next();
+    s.crash(2, 60_000);
+    s.run(6000);
+    s.state.low = Some(LOW);
+    // Together they go beyond the lower limit of a transaction.
+    let slots: Vec<usize> = (0..9)
+        .map(|n| {
+            let id = format!("run-00001{n}");
+            s.submit(0, &submission(&id, "sweep", 1, 4.0, "normal"), 1000)
+        })
+        .collect();
+    let accepted = |s: &Sim| {
+        let one = |i: &usize| s.answer(*i).is_some_and(|a| a.0 == 201);
+        slots.iter().all(one)
+    };
+    assert!(s.until(3500, accepted), "{}", s.trace.join("\n"));
+    s.finish(150_000);
+    assert!(s.state.too_large > 0, "something was refused");
+    assert_eq!(format_of(&s), Some(1));
+    s.assert_sound();
+}
+
+/// The limits fall at each step of jobs' lives, during an election, with large records
+/// stored, and while jobs are called off: nothing is refused for its size, lost or stuck.
+#[test]
+fn limits_fall_at_every_step() {
+    let mut largest = 0;
+    for k in 0..24u64 {
+        let mut s = with_limits(r#","next":{"value_kb":1.0,"txn_ops":4,"write_rps":15.0}"#);
+        s.cloud.most = 60;
+        if k % 3 == 0 {
+            // An old leader has stored a large record.
+            s.old.extend([0, 1, 2]);
+        }
+        s.run(1000);
+        jobs(&mut s);
+        s.submit(
+            2,
+            &submission("run-000003", "sweep", 90, 5.0, "best_effort"),
+            9000,
+        );
+        for n in 10..22 {
+            let one = submission(&format!("run-0000{n}"), "sweep", 1, 1.0, "best_effort");
+            s.submit(0, &one, 5000);
+        }
+        s.run(6500 + 250 * k);
+        let stored = s.state.keys.get("g/j/run-000003");
+        largest = largest.max(stored.map_or(0, |v| json_len(&v.0)));
+        if k % 3 == 0 {
+            s.old.clear();
+            for n in 0..3 {
+                s.crash(n, 300 + 400 * n as u64);
+            }
+            assert!(s.until(25_000, |s| format_of(s) == Some(1)));
+        }
+        if k % 3 == 1 {
+            let l = s.leader().expect("a leader");
+            s.crash(l, 300);
+            s.run(60 * k);
+        }
+        s.state.low = Some(Low { value: 1024, ..LOW });
+        s.note("the limits fall".into());
+        if k % 4 == 2 {
+            let slot = s.ask(1, "POST", "/work/run-000003/cancel", vec![]);
+            s.run(3000);
+            assert!(
+                s.answer(slot).is_some_and(|a| a.0 == 200),
+                "{}",
+                s.trace.join("\n")
+            );
+        }
+        s.finish(150_000);
+        s.assert_sound();
+        s.assert_known();
+        assert_eq!(s.state.too_large, 0, "{k}");
+        assert!(s.state.too_much < 20, "{k}: {} refused", s.state.too_much);
+    }
+    assert!(
+        largest > 1024,
+        "one was larger than what holds later: {largest}"
+    );
+}
+
+/// A plan gives an array more places than its record may hold: it gets as many as fit, and
+/// what is written keeps to the limit, also while its tasks end one by one.
+#[test]
+fn as_many_places_as_the_record_holds() {
+    let text = format!(
+        r#"{{"teams":[{{"name":"line-vision"}}],"workers":{{"report_s":3.0,"lease_s":36.0,
+        "gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0}},
+        "state":{{"rps":9.0,"write_rps":9.0,"value_kb":16.0,"txn_ops":20{NEXT}}},
+        "cloud":{{"rps":9.0,"list_lag_s":1.0}},
+        "limits":{{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}}}}"#
+    );
+    let cluster: Cluster = serde_json::from_str(&text).expect("settings");
+    let kind = |sku: &str| wire::Flavor {
+        sku: sku.into(),
+        cores: 32.0,
+        gpus: 4.0,
+        mem_gb: 256.0,
+        cache_gb: 100.0,
+        fetch: 1.0,
+        hourly: 1.0,
+        spot_price: 0.5,
+        boot_s: 40.0,
+        halls: vec!["a".into()],
+    };
+    let seat = Seat {
+        member: "c0".into(),
+        epoch: 2,
+        stamp: 3,
+        wall: 1_000_000,
+    };
+    let flavors = Arc::new(vec![kind("vidin-32")]);
+    let mut c = Control::new(
+        seat,
+        &cluster,
+        &Operator::default(),
+        flavors,
+        &Picture::default(),
+        1,
+    );
+    c.set_format(1, &cluster.state.lowered());
+    let (_, bytes) = fixture("record fresh");
+    let v: Value = wire::decode(&bytes).expect("a value");
+    let mut record = Record::from_value(&v).expect("a record");
+    record.spec.tasks = 900;
+    let record = Arc::new(record);
+    c.job_seen("run-1", &Live { record, stamp: 1 }, 1000);
+    let host = |n: u32| format!("m-{:06}", (n * 37) % 1700);
+    let report = |n: u32, serial: u64, pieces: Vec<wire::Piece>| wire::Report {
+        host: host(n),
+        endpoint: "10.1.0.1:9000".into(),
+        flavor: "vidin-32".into(),
+        hall: "a".into(),
+        loaner: true,
+        tenure: 1,
+        serial,
+        epoch: 2,
+        notice_s: None,
+        pieces,
+    };
+    for n in 0..900 {
+        c.report(&report(n, 1, vec![]), true, 1500);
+    }
+    let places = vec![Place {
+        job: "run-1".into(),
+        tasks: (0..900).map(|n| (n, host(n).as_str().into())).collect(),
+    }];
+    let d = Decision {
+        places,
+        ..Decision::default()
+    };
+    c.apply(d, 0, 2000, 1_002_000);
+    let placed = c.jobs["run-1"].placed.len() as u32;
+    assert!((200..400).contains(&placed), "{placed}");
+    let mut now = 2000;
+    let mut flown = false;
+    for n in (0..placed).rev().step_by(2).chain((0..placed).step_by(2)) {
+        let ended = wire::Piece {
+            piece: format!("run-1/{n}"),
+            attempt: 1,
+            status: "ended".into(),
+            cause: Some("done".into()),
+            kept: None,
+        };
+        c.report(&report(n, 2, vec![ended]), true, now);
+        now += 1100;
+        c.tick(now, 9, 9);
+        for e in c.take_effects() {
+            if let Effect::Write { ver, writes, .. } = e {
+                let size = writes[0].data.as_ref().map_or(0, json_len);
+                assert!(size <= 2048, "{size} with {n} done");
+                c.committed("run-1", ver, None, &Commit::Done { rev: now }, now);
+                flown = true;
+            }
+        }
+    }
+    assert!(flown);
+}
+
+/// Limits to come are checked like those that hold.
+#[test]
+fn limits_to_come_are_checked() {
+    let check = |next: &str| {
+        let text = format!(
+            r#"{{"member":"w0","zone":"z","front":"10.0.0.1:8080","mesh_addr":"10.0.0.1:8081",
+            "known":[],"endpoints":{{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"}},
+            "cluster":{{"workers":{{"report_s":3,"lease_s":36.0,"gang_wait_s":35.0,"gang_peer_s":4.0,
+            "cancel_s":66.0}},"state":{{"rps":100,"write_rps":25.0,"value_kb":16.0,"txn_ops":20{next}}},
+            "cloud":{{"rps":5.0,"list_lag_s":3.0}},
+            "limits":{{"cpu_share":0.08,"ram_mb":200,"fd_limit":4000}}}}}}"#
+        );
+        let s: Settings = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+        s.check().map_err(|e| e.to_string())?;
+        Ok::<_, String>(s.cluster.state.lowered())
+    };
+    let low = check(NEXT).expect("good ones");
+    assert_eq!(
+        (low.value_kb, low.txn_ops, low.write_rps, low.rps),
+        (2.0, 4, 15.0, 100.0)
+    );
+    assert_eq!(check("").expect("none").value_kb, 16.0);
+    assert_eq!(check(r#","next":null"#).expect("none").txn_ops, 20);
+    assert_eq!(
+        check(r#","next":{"value_kb":99.0,"new":1}"#)
+            .expect("higher")
+            .value_kb,
+        16.0
+    );
+    for (next, field) in [
+        (r#","next":{"txn_ops":1}"#, "next.txn_ops"),
+        (r#","next":{"value_kb":0.5}"#, "next.value_kb"),
+        (r#","next":{"write_rps":0}"#, "next.write_rps"),
+        (r#","next":{"write_rps":"x"}"#, "invalid type"),
+    ] {
+        let e = check(next).expect_err(next);
+        assert!(e.contains(field), "{e}");
+    }
+}
