--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1532,6 +1532,25 @@
         wire::encode(&t)
     }
 
+    /// A job is called off, by a user who asks at one controller after the other until
+    /// told what has become of it.
+    pub fn called_off(&mut self, id: &str) -> String {
+        for n in 0..60 {
+            let slot = self.ask(n % 3, "POST", &format!("/work/{id}/cancel"), vec![]);
+            if self.until(1500, |s| s.answer(slot).is_some_and(|a| a.0 == 200)) {
+                return self.answer(slot).expect("an answer").1;
+            }
+        }
+        panic!("nobody calls {id} off\n{}", self.trace.join("\n"));
+    }
+
+    /// The state service is back for all, and every grant has its full time again.
+    pub fn end_outage(&mut self) {
+        self.state_out = false;
+        let now = self.now;
+        self.state.refresh(now);
+    }
+
     /// A machine stands still, and goes on after this time.
     pub fn hang(&mut self, host: &str, ms: u64) {
         self.hung.insert(host.to_string(), self.now + ms);
