--- a/examples/share.rs
+++ b/examples/share.rs
@@ -9,11 +9,11 @@
 use std::time::Instant;
 
 use ciborium::{cbor, Value};
-use gaugesill::net::{Action, Door, Event, Outcome, Request};
-use gaugesill::node::{Node, Now};
+use gaugesill::net::{Action, Event, Listener, Outcome, Request};
+use gaugesill::node::{Node, Timestamp};
 use gaugesill::plan;
-use gaugesill::settings::{Operator, Settings};
-use gaugesill::wire::{self, Change, News, Orders, Piece, Report, Txn};
+use gaugesill::settings::{OperatorSettings, Settings};
+use gaugesill::wire::{self, CommandBatch, KeyChange, Report, TaskReport, Transaction, WatchReply};
 
 const NODES: usize = 5;
 const REPORT_MS: u64 = 8000;
@@ -47,7 +47,7 @@
 }
 
 struct Worker {
-    tasks: Vec<(Piece, u64)>,
+    tasks: Vec<(TaskReport, u64)>,
     serial: u64,
     epoch: u64,
     next: u64,
@@ -67,8 +67,8 @@
     nodes: Vec<Node>,
     spent: Vec<BTreeMap<&'static str, Spent>>,
     keys: BTreeMap<String, (Value, u64)>,
-    rev: u64,
-    log: Vec<Change>,
+    revision: u64,
+    log: Vec<KeyChange>,
     watches: Vec<(usize, u64, u64, u64)>,
     replies: BTreeMap<(u64, u64), Answer>,
     seq: u64,
@@ -85,8 +85,8 @@
 }
 
 impl World {
-    fn clock(&self) -> Now {
-        Now {
+    fn clock(&self) -> Timestamp {
+        Timestamp {
             steady: self.now,
             wall: 1_000_000 + self.now,
         }
@@ -122,19 +122,21 @@
         let actions = self.nodes[node].take_actions();
         for a in actions {
             match a {
-                Action::Answer { conn, body, .. } => {
+                Action::Answer {
+                    connection, body, ..
+                } => {
                     if self.measured {
                         let s = self.spent[node].entry("answers").or_default();
                         s.count += 1;
                         s.bytes += body.len() as u64;
                     }
-                    if let Some(w) = self.conns.remove(&conn) {
+                    if let Some(w) = self.conns.remove(&connection) {
                         self.answered(w, &body);
                     }
                 }
                 Action::Call {
                     tag,
-                    to,
+                    address,
                     method,
                     path,
                     body,
@@ -145,7 +147,7 @@
                         s.count += 1;
                         s.bytes += (body.len() + path.len()) as u64;
                     }
-                    self.call(node, tag, &to.to_string(), method, &path, &body);
+                    self.call(node, tag, &address.to_string(), method, &path, &body);
                 }
             }
         }
@@ -177,8 +179,7 @@
                             cbor!({"key" => k.as_str(), "data" => v.0, "stamp" => v.1}).ok()
                         })
                         .collect();
-                    let v =
-                        cbor!({"pairs" => pairs, "truncated" => false, "ledgerRev" => self.rev});
+                    let v = cbor!({"pairs" => pairs, "truncated" => false, "ledgerRev" => self.revision});
                     let body = wire::encode(&v.unwrap_or(Value::Null));
                     self.reply(5, node, tag, "load", body);
                 }
@@ -187,25 +188,25 @@
                     self.watches.push((node, tag, from, self.now + hold));
                 }
                 ("POST", "/txn") => {
-                    let Some(t) = wire::decode::<Txn>(body) else {
+                    let Some(t) = wire::decode::<Transaction>(body) else {
                         return;
                     };
-                    self.rev += 1;
+                    self.revision += 1;
                     for w in t.writes {
-                        let stamp = self.rev;
-                        if let (Some(k), Some(d)) = (&w.set, &w.data) {
-                            self.keys.insert(k.clone(), (d.clone(), stamp));
-                        } else if let Some(k) = &w.drop {
+                        let version = self.revision;
+                        if let (Some(k), Some(d)) = (&w.set, &w.value) {
+                            self.keys.insert(k.clone(), (d.clone(), version));
+                        } else if let Some(k) = &w.delete {
                             self.keys.remove(k);
                         }
-                        self.log.push(Change {
+                        self.log.push(KeyChange {
                             set: w.set,
-                            data: w.data,
-                            drop: w.drop,
-                            stamp,
+                            value: w.value,
+                            delete: w.delete,
+                            version,
                         });
                     }
-                    let v = cbor!({"ledgerRev" => self.rev}).unwrap_or(Value::Null);
+                    let v = cbor!({"ledgerRev" => self.revision}).unwrap_or(Value::Null);
                     self.reply(5, node, tag, "commit", wire::encode(&v));
                 }
                 ("POST", "/grants") => {
@@ -229,7 +230,7 @@
                         .nth(1)
                         .map_or(0, |x| x[..6].parse::<usize>().map_or(0, |n| n + 1));
                     let to = (from + 500).min(self.workers.len());
-                    let hosts: Vec<Value> = (from..to)
+                    let machines: Vec<Value> = (from..to)
                         .filter_map(|i| {
                             cbor!({"nameId" => format!("m-{i:06}"),
                             "endpoint" => "10.1.0.1:9000", "flavor" => "v32", "hall" => "a",
@@ -238,7 +239,7 @@
                         })
                         .collect();
                     let more = to < self.workers.len();
-                    let v = cbor!({"hosts" => hosts, "truncated" => more});
+                    let v = cbor!({"hosts" => machines, "truncated" => more});
                     let body = wire::encode(&v.unwrap_or(Value::Null));
                     self.reply(150, node, tag, "list", body);
                 }
@@ -256,9 +257,9 @@
                         .and_then(|n| usize::try_from(n).ok())
                         .unwrap_or(0);
                     let spot = get("loaner").and_then(|b| b.as_bool()).unwrap_or(false);
-                    let mut hosts = Vec::new();
-                    while hosts.len() < n && self.workers.len() < self.most {
-                        hosts.push(format!("m-{:06}", self.workers.len()));
+                    let mut machines = Vec::new();
+                    while machines.len() < n && self.workers.len() < self.most {
+                        machines.push(format!("m-{:06}", self.workers.len()));
                         let at = self.workers.len() as u64 * 7919 % REPORT_MS;
                         self.workers.push(Worker {
                             tasks: vec![],
@@ -268,7 +269,7 @@
                             spot,
                         });
                     }
-                    let body = wire::encode(&wire::Hosts { hosts });
+                    let body = wire::encode(&wire::MachineNames { names: machines });
                     self.reply(150, node, tag, "rental", body);
                 }
                 _ => self.reply(150, node, tag, "deletion", vec![]),
@@ -284,7 +285,7 @@
     }
 
     fn answered(&mut self, w: usize, body: &[u8]) {
-        let Some(o) = wire::decode::<Orders>(body) else {
+        let Some(o) = wire::decode::<CommandBatch>(body) else {
             return;
         };
         let now = self.now;
@@ -295,12 +296,12 @@
         if worker.serial == 1 {
             worker.next = now + 500;
         }
-        for o in o.orders {
+        for o in o.commands {
             match o.verb.as_str() {
                 "start" => {
                     worker.tasks.push((
-                        Piece {
-                            piece: o.piece,
+                        TaskReport {
+                            task: o.task,
                             attempt: o.attempt,
                             status: "pulling".into(),
                             cause: None,
@@ -310,7 +311,7 @@
                     ));
                     worker.next = worker.next.min(now + 500);
                 }
-                "clear" => worker.tasks.retain(|t| t.0.piece != o.piece),
+                "clear" => worker.tasks.retain(|t| t.0.task != o.task),
                 _ => {}
             }
         }
@@ -322,7 +323,7 @@
             let worker = &mut self.workers[w];
             let mut changed = false;
             for t in worker.tasks.iter_mut().filter(|t| now >= t.1) {
-                let id = t.0.piece.split('/').next().unwrap_or("");
+                let id = t.0.task.split('/').next().unwrap_or("");
                 let Some(j) = self.jobs.get(id) else { continue };
                 if t.0.status == "pulling" {
                     t.0.status = "running".into();
@@ -349,22 +350,22 @@
             worker.next = now + REPORT_MS;
             worker.serial += 1;
             let r = Report {
-                host: format!("m-{w:06}"),
+                machine: format!("m-{w:06}"),
                 endpoint: "10.1.0.1:9000".into(),
-                flavor: "v32".into(),
-                hall: "a".into(),
-                loaner: worker.spot,
-                tenure: 1,
+                machine_type: "v32".into(),
+                zone: "a".into(),
+                spot: worker.spot,
+                session: 1,
                 serial: worker.serial,
                 epoch: worker.epoch,
-                notice_s: None,
-                pieces: worker.tasks.iter().map(|t| t.0.clone()).collect(),
+                reclaim_in_s: None,
+                tasks: worker.tasks.iter().map(|t| t.0.clone()).collect(),
             };
-            let conn = self.conn();
-            self.conns.insert(conn, w);
+            let connection = self.connection();
+            self.conns.insert(connection, w);
             let ev = Event::Request {
-                conn,
-                door: Door::Front,
+                connection,
+                listener: Listener::Front,
                 request: Request {
                     method: "POST".into(),
                     path: "/checkin".into(),
@@ -375,25 +376,25 @@
         }
     }
 
-    fn conn(&mut self) -> usize {
+    fn connection(&mut self) -> usize {
         self.next_conn += 1;
         self.next_conn
     }
 
     fn user(&mut self, node: usize, sort: &'static str, method: &str, path: &str, body: Vec<u8>) {
-        let conn = self.conn();
+        let connection = self.connection();
         let request = Request {
             method: method.into(),
             path: path.into(),
             body,
         };
-        let door = Door::Front;
+        let listener = Listener::Front;
         self.event(
             node,
             sort,
             Event::Request {
-                conn,
-                door,
+                connection,
+                listener,
                 request,
             },
         );
@@ -441,23 +442,23 @@
                 continue;
             }
             let outcome = if sort == "unsent" {
-                Outcome::Unsent
+                Outcome::NotSent
             } else {
                 Outcome::Answer { status: 200, body }
             };
             self.event(node, sort, Event::Reply { tag, outcome });
         }
         for (node, tag, from, until) in std::mem::take(&mut self.watches) {
-            let first = self.log.partition_point(|c| c.stamp <= from);
+            let first = self.log.partition_point(|c| c.version <= from);
             if first == self.log.len() && now < until {
                 self.watches.push((node, tag, from, until));
                 continue;
             }
-            let news = News {
-                rev: self.rev,
-                news: self.log[first..].to_vec(),
+            let changes = WatchReply {
+                revision: self.revision,
+                changes: self.log[first..].to_vec(),
             };
-            let body = wire::encode(&news);
+            let body = wire::encode(&changes);
             self.reply(5, node, tag, "watch", body);
         }
         self.workers_turn();
@@ -491,7 +492,7 @@
                 let d = plan::cycle(s);
                 self.took(node, "plan", t, 0);
                 let t = Instant::now();
-                self.nodes[node].planned(at, epoch, d);
+                self.nodes[node].on_planned(at, epoch, d);
                 self.took(node, "plan applied", t, 0);
             }
             self.drain(node);
@@ -512,15 +513,15 @@
         return;
     };
     let nodes = vec![
-        Node::new(a, Operator::default(), 1),
-        Node::new(b, Operator::default(), 2),
+        Node::new(a, OperatorSettings::default(), 1),
+        Node::new(b, OperatorSettings::default(), 2),
     ];
     let mut w = World {
         now: 0,
         nodes,
         spent: (0..2).map(|_| BTreeMap::new()).collect(),
         keys: BTreeMap::new(),
-        rev: 1,
+        revision: 1,
         log: vec![],
         watches: vec![],
         replies: BTreeMap::new(),
@@ -546,13 +547,13 @@
         w.measured = w.now > warm;
         if failover && w.now == warm {
             w.lead = 1;
-            w.rev += 1;
+            w.revision += 1;
             w.keys.remove("g/l/leader");
-            w.log.push(Change {
+            w.log.push(KeyChange {
                 set: None,
-                data: None,
-                drop: Some("g/l/leader".into()),
-                stamp: w.rev,
+                value: None,
+                delete: Some("g/l/leader".into()),
+                version: w.revision,
             });
         }
         let queue = machines as u32 / 10;
@@ -584,6 +585,6 @@
             all / 1e4
         );
     }
-    let c = w.nodes[w.lead].control.as_ref();
+    let c = w.nodes[w.lead].scheduler.as_ref();
     println!("{}", c.map_or(String::new(), |c| c.summary()));
 }
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -1,300 +1,380 @@
-//! What to buy: from the tasks without a place to rentals, by price. Pure.
+//! What to rent: from the tasks without a place to rentals, by price. Pure.
 
-use crate::job::Spec;
-use crate::plan::{allowed, zone_cap, Room, Zones};
-use crate::wire::Flavor;
+use std::sync::Arc;
+
+use crate::job::JobSpec;
+use crate::plan::{is_allowed, tasks_per_zone_max, Resources, ZoneCounts};
+use crate::wire::MachineType;
+
+/// Prices for a task that differ by less are the same.
+const PRICE_EPSILON: f64 = 1e-9;
 
 /// One kind of machine that the cloud rents.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Kind {
-    pub flavor: String,
+pub struct MachineKind {
+    /// The name of its type.
+    pub machine_type: String,
+    /// Its zone.
     pub zone: String,
+    /// Whether it is a spot machine.
     pub spot: bool,
 }
 
 /// Tasks of one job that need a place.
 #[derive(Debug, Clone)]
-pub struct Need {
-    pub spec: std::sync::Arc<Spec>,
+pub struct Demand {
+    /// What was asked for.
+    pub spec: Arc<JobSpec>,
+    /// How many tasks.
     pub count: u32,
-    /// Where its other tasks are.
-    pub zones: Zones,
+    /// Where the job's other tasks are.
+    pub zones: ZoneCounts,
     /// Work for spot machines may have an ordinary one that costs at most
     /// this many times as much a task; 0: none.
-    pub dear: f64,
+    pub ordinary_price_ratio: f64,
 }
 
-impl Need {
+impl Demand {
     /// How many more of its tasks may go to a zone.
-    fn zone_room(&self, zone: &str, used: &Zones) -> u32 {
-        if self.spec.one_zone && used.iter().any(|(z, n)| *n > 0 && **z != *zone) {
+    fn allowed_in_zone(&self, zone: &str, used: &ZoneCounts) -> u32 {
+        let elsewhere = |(other, count): (&Arc<str>, &u32)| *count > 0 && **other != *zone;
+        if self.spec.single_zone && used.iter().any(elsewhere) {
             return 0;
         }
         let here = used.get(zone).copied().unwrap_or(0);
-        zone_cap(&self.spec).saturating_sub(here)
+        tasks_per_zone_max(&self.spec).saturating_sub(here)
     }
 }
 
 /// Machines of a kind on their way.
 #[derive(Debug, Clone)]
-pub struct Coming {
-    pub kind: Kind,
+pub struct IncomingMachines {
+    /// Their kind.
+    pub kind: MachineKind,
+    /// How many.
     pub count: u64,
 }
 
-pub fn room(f: &Flavor) -> Room {
-    Room {
-        cpus: f.cores,
-        gpus: f.gpus,
-        mem: f.mem_gb,
+/// What a machine of a type has.
+pub fn capacity(machine_type: &MachineType) -> Resources {
+    Resources {
+        cpus: machine_type.cpus,
+        gpus: machine_type.gpus,
+        memory_gb: machine_type.memory_gb,
     }
 }
 
-/// Whether any machine of the cloud could hold one task.
-pub fn can_run(spec: &Spec, flavors: &[Flavor]) -> bool {
-    flavors.iter().any(|f| {
-        room(f).fits(Room::of(spec)) && f.halls.iter().any(|h| allowed(spec, &f.sku, h, spec.spot))
+/// Whether any machine of the cloud could hold one task of a job.
+pub fn can_run(spec: &JobSpec, machine_types: &[MachineType]) -> bool {
+    let demand = Resources::of(spec);
+    machine_types.iter().any(|machine_type| {
+        let allowed = |zone: &String| is_allowed(spec, &machine_type.name, zone, spec.spot);
+        capacity(machine_type).fits(demand) && machine_type.zones.iter().any(allowed)
     })
 }
 
 /// Machines on their way, or to be rented now, with the same room left.
 #[derive(Debug, Clone, Copy)]
-struct Lot {
-    kind: usize,
-    free: Room,
+struct MachineGroup {
+    /// The index of the offer.
+    offer: usize,
+    free: Resources,
     count: u64,
 }
 
-/// What is decided on so far.
+/// What is decided so far.
 #[derive(Clone)]
-struct Basket {
-    lots: Vec<Lot>,
-    /// In the order of the needs that they are for.
+struct Purchases {
+    groups: Vec<MachineGroup>,
+    /// Offers with how many machines, in the order of the demands that they are for.
     bought: Vec<(usize, u64)>,
     total: u64,
     price: f64,
 }
 
+impl Purchases {
+    /// Machines that are on their way anyway.
+    fn new(incoming: &[IncomingMachines], offers: &[Offer]) -> Purchases {
+        let group = |machines: &IncomingMachines| {
+            let offer = offers.iter().position(|o| o.kind == machines.kind)?;
+            Some(MachineGroup {
+                offer,
+                free: offers[offer].capacity,
+                count: machines.count,
+            })
+        };
+        Purchases {
+            groups: incoming.iter().filter_map(group).collect(),
+            bought: vec![],
+            total: 0,
+            price: 0.0,
+        }
+    }
+
+    fn buy(&mut self, offer: usize, details: &Offer, count: u64) {
+        self.price += details.price * count as f64;
+        self.total += count;
+        match self.bought.iter_mut().find(|(other, _)| *other == offer) {
+            Some((_, bought)) => *bought += count,
+            None => self.bought.push((offer, count)),
+        }
+        self.groups.push(MachineGroup {
+            offer,
+            free: details.capacity,
+            count,
+        });
+    }
+
+    fn remove_empty_groups(&mut self) {
+        self.groups.retain(|group| group.count > 0);
+    }
+}
+
+/// A kind of machine that the cloud rents, with its price.
 struct Offer {
-    kind: Kind,
-    room: Room,
+    kind: MachineKind,
+    capacity: Resources,
     price: f64,
+    /// Sold out.
     blocked: bool,
 }
 
-struct Market {
+/// A demand that is being met.
+struct OpenDemand<'a> {
+    demand: &'a Demand,
+    /// Its index.
+    index: usize,
+    per_task: Resources,
+    /// Offers that it may use.
+    allowed: Vec<bool>,
+    /// Tasks without a place.
+    left: u32,
+    zones: ZoneCounts,
+}
+
+impl OpenDemand<'_> {
+    fn allowed_in_zone(&self, zone: &str) -> u32 {
+        self.demand.allowed_in_zone(zone, &self.zones)
+    }
+}
+
+struct Catalog {
     offers: Vec<Offer>,
-    /// For each need and kind, how many tasks of later needs the kind could
-    /// hold.
-    later: Vec<Vec<u32>>,
-    most: u64,
+    /// For each demand and offer, how many tasks of this and later demands the offer
+    /// could hold.
+    later_tasks: Vec<Vec<u32>>,
+    /// Most machines to rent.
+    machines_max: u64,
+}
+
+/// Decides what to rent so that every demand has a place on what is coming, at
+/// most `machines_max` machines.
+pub fn plan_purchases(
+    demands: &[Demand],
+    incoming: Vec<IncomingMachines>,
+    machine_types: &[MachineType],
+    is_blocked: &dyn Fn(&MachineKind) -> bool,
+    machines_max: u64,
+) -> Vec<(MachineKind, u64)> {
+    let offers = all_offers(machine_types, is_blocked);
+    let mut purchases = Purchases::new(&incoming, &offers);
+    let catalog = Catalog {
+        later_tasks: count_later_tasks(demands, &offers),
+        offers,
+        machines_max,
+    };
+    let mut zones: Vec<&String> = machine_types.iter().flat_map(|t| &t.zones).collect();
+    zones.sort();
+    zones.dedup();
+    for (index, demand) in demands.iter().enumerate() {
+        let bound = demand.zones.values().any(|count| *count > 0);
+        if demand.spec.single_zone && !bound {
+            catalog.meet_in_best_zone(index, demand, &zones, &mut purchases);
+        } else {
+            catalog.meet(index, demand, &demand.zones, &mut purchases);
+        }
+    }
+    let bought = purchases.bought.into_iter();
+    bought
+        .map(|(offer, count)| (catalog.offers[offer].kind.clone(), count))
+        .collect()
 }
 
-/// Decides what to rent so that every need has a place on what is coming, at
-/// most `most` machines.
-pub fn shop(
-    needs: &[Need],
-    coming: Vec<Coming>,
-    flavors: &[Flavor],
-    blocked: &dyn Fn(&Kind) -> bool,
-    most: u64,
-) -> Vec<(Kind, u64)> {
+fn all_offers(
+    machine_types: &[MachineType],
+    is_blocked: &dyn Fn(&MachineKind) -> bool,
+) -> Vec<Offer> {
     let mut offers = Vec::new();
-    for f in flavors {
-        for zone in &f.halls {
+    for machine_type in machine_types {
+        for zone in &machine_type.zones {
             for spot in [true, false] {
-                let kind = Kind {
-                    flavor: f.sku.clone(),
+                let kind = MachineKind {
+                    machine_type: machine_type.name.clone(),
                     zone: zone.clone(),
                     spot,
                 };
                 offers.push(Offer {
-                    room: room(f),
-                    price: if spot { f.spot_price } else { f.hourly },
-                    blocked: blocked(&kind),
+                    capacity: capacity(machine_type),
+                    price: if spot {
+                        machine_type.spot_price
+                    } else {
+                        machine_type.hourly_price
+                    },
+                    blocked: is_blocked(&kind),
                     kind,
                 });
             }
         }
     }
-    let mut later = vec![vec![0u32; offers.len()]; needs.len() + 1];
-    for (n, need) in needs.iter().enumerate().rev() {
-        for (k, o) in offers.iter().enumerate() {
-            let able = allowed(&need.spec, &o.kind.flavor, &o.kind.zone, o.kind.spot);
-            let own = if able { need.count } else { 0 };
-            later[n][k] = later[n + 1][k].saturating_add(own);
+    offers
+}
+
+fn count_later_tasks(demands: &[Demand], offers: &[Offer]) -> Vec<Vec<u32>> {
+    let mut later = vec![vec![0u32; offers.len()]; demands.len() + 1];
+    for (index, demand) in demands.iter().enumerate().rev() {
+        for (offer, allowed) in allowed_offers(&demand.spec, offers).into_iter().enumerate() {
+            let own = if allowed { demand.count } else { 0 };
+            later[index][offer] = later[index + 1][offer].saturating_add(own);
         }
     }
-    let mut basket = Basket {
-        lots: coming
-            .iter()
-            .filter_map(|c| {
-                let kind = offers.iter().position(|o| o.kind == c.kind)?;
-                Some(Lot {
-                    kind,
-                    free: offers[kind].room,
-                    count: c.count,
-                })
-            })
-            .collect(),
-        bought: vec![],
-        total: 0,
-        price: 0.0,
-    };
-    let mut zones: Vec<&String> = flavors.iter().flat_map(|f| &f.halls).collect();
-    zones.sort();
-    zones.dedup();
-    let market = Market {
-        offers,
-        later,
-        most,
+    later
+}
+
+fn allowed_offers(spec: &JobSpec, offers: &[Offer]) -> Vec<bool> {
+    let allowed = |offer: &Offer| {
+        let kind = &offer.kind;
+        is_allowed(spec, &kind.machine_type, &kind.zone, kind.spot)
     };
-    for (n, need) in needs.iter().enumerate() {
-        if !need.spec.one_zone || need.zones.values().any(|c| *c > 0) {
-            market.fill(n, need, &need.zones, &mut basket);
-            continue;
-        }
-        // All in one zone: the one where the least is left over, then the
-        // cheapest.
+    offers.iter().map(allowed).collect()
+}
+
+impl Catalog {
+    /// Meets a demand in the zone where the least is left over, then the cheapest.
+    fn meet_in_best_zone(
+        &self,
+        index: usize,
+        demand: &Demand,
+        zones: &[&String],
+        purchases: &mut Purchases,
+    ) {
         let best = zones
             .iter()
-            .map(|z| {
-                let mut b = basket.clone();
-                let only = Zones::from([(z.as_str().into(), 1)]);
-                let left = market.fill(n, need, &only, &mut b);
-                (left, b)
+            .map(|zone| {
+                let mut attempt = purchases.clone();
+                let only = ZoneCounts::from([(zone.as_str().into(), 1)]);
+                let left = self.meet(index, demand, &only, &mut attempt);
+                (left, attempt)
             })
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.price.total_cmp(&b.1.price)));
-        if let Some((_, b)) = best {
-            basket = b;
+        if let Some((_, attempt)) = best {
+            *purchases = attempt;
         }
     }
-    let bought = basket.bought.into_iter();
-    bought
-        .map(|(k, n)| (market.offers[k].kind.clone(), n))
-        .collect()
-}
 
-impl Market {
-    /// Finds places for one need on what is coming, buys for the rest, and
-    /// tells how many tasks are left over.
-    fn fill(&self, n: usize, need: &Need, zones: &Zones, b: &mut Basket) -> u32 {
-        let room_of = Room::of(&need.spec);
-        let mut used = zones.clone();
-        let mut left = need.count;
-        let ok: Vec<bool> = self
-            .offers
-            .iter()
-            .map(|o| allowed(&need.spec, &o.kind.flavor, &o.kind.zone, o.kind.spot))
-            .collect();
-        for i in 0..b.lots.len() {
-            if left == 0 {
+    /// Finds places for one demand on what is coming, buys for the rest, and
+    /// returns how many tasks are left over.
+    fn meet(
+        &self,
+        index: usize,
+        demand: &Demand,
+        zones: &ZoneCounts,
+        purchases: &mut Purchases,
+    ) -> u32 {
+        let mut open = OpenDemand {
+            demand,
+            index,
+            per_task: Resources::of(&demand.spec),
+            allowed: allowed_offers(&demand.spec, &self.offers),
+            left: demand.count,
+            zones: zones.clone(),
+        };
+        for group in 0..purchases.groups.len() {
+            if open.left == 0 {
                 break;
             }
-            if ok[b.lots[i].kind] && b.lots[i].count > 0 && b.lots[i].free.fits(room_of) {
-                self.put(need, room_of, i, &mut left, &mut used, b);
+            let MachineGroup { offer, free, count } = purchases.groups[group];
+            if open.allowed[offer] && count > 0 && free.fits(open.per_task) {
+                self.use_group(group, &mut open, purchases);
             }
         }
-        b.lots.retain(|l| l.count > 0);
-        while left > 0 && b.total < self.most {
-            let Some(kind) = self.cheapest(n, need, left, &used, &ok) else {
+        purchases.remove_empty_groups();
+        while open.left > 0 && purchases.total < self.machines_max {
+            let Some(offer) = self.cheapest(&open) else {
                 break;
             };
-            let o = &self.offers[kind];
-            let each = o.room.times(room_of).max(1);
-            let most = left.min(need.zone_room(&o.kind.zone, &used));
-            let count = u64::from(most / each).clamp(1, self.most - b.total);
-            b.price += o.price * count as f64;
-            b.total += count;
-            match b.bought.iter_mut().find(|x| x.0 == kind) {
-                Some(x) => x.1 += count,
-                None => b.bought.push((kind, count)),
-            }
-            b.lots.push(Lot {
-                kind,
-                free: o.room,
-                count,
-            });
-            self.put(need, room_of, b.lots.len() - 1, &mut left, &mut used, b);
-            b.lots.retain(|l| l.count > 0);
+            let details = &self.offers[offer];
+            let each = details.capacity.count_of(open.per_task).max(1);
+            let tasks = open.left.min(open.allowed_in_zone(&details.kind.zone));
+            let most = self.machines_max - purchases.total;
+            let count = u64::from(tasks / each).clamp(1, most);
+            purchases.buy(offer, details, count);
+            self.use_group(purchases.groups.len() - 1, &mut open, purchases);
+            purchases.remove_empty_groups();
         }
-        left
+        open.left
     }
 
-    /// Puts tasks on the machines of a lot; those used in part or in full
-    /// become lots of their own.
-    fn put(
-        &self,
-        need: &Need,
-        room_of: Room,
-        i: usize,
-        left: &mut u32,
-        used: &mut Zones,
-        b: &mut Basket,
-    ) {
-        let lot = b.lots[i];
-        let zone = &self.offers[lot.kind].kind.zone;
-        let each = lot.free.times(room_of);
-        let most = (*left).min(need.zone_room(zone, used));
+    /// Puts tasks on the machines of a group; those used in part or in full
+    /// become groups of their own.
+    fn use_group(&self, index: usize, open: &mut OpenDemand, purchases: &mut Purchases) {
+        let group = purchases.groups[index];
+        let zone = &self.offers[group.offer].kind.zone;
+        let each = group.free.count_of(open.per_task);
+        let most = open.left.min(open.allowed_in_zone(zone));
         if each == 0 || most == 0 {
             return;
         }
-        let full = lot.count.min(u64::from(most / each));
-        let rest = if full < lot.count { most % each } else { 0 };
+        let full = group.count.min(u64::from(most / each));
+        let rest = if full < group.count { most % each } else { 0 };
         let parts = [(full, each), (u64::from(rest > 0), rest)];
-        for (count, tasks) in parts.into_iter().filter(|p| p.0 > 0) {
-            let mut free = lot.free;
+        for (count, tasks) in parts.into_iter().filter(|part| part.0 > 0) {
+            let mut free = group.free;
             for _ in 0..tasks {
-                free.sub(room_of);
+                free.sub(open.per_task);
             }
-            b.lots[i].count -= count;
-            b.lots.push(Lot {
-                kind: lot.kind,
+            purchases.groups[index].count -= count;
+            purchases.groups.push(MachineGroup {
+                offer: group.offer,
                 free,
                 count,
             });
         }
-        let put = full as u32 * each + rest;
-        *left -= put;
-        *used.entry(zone.as_str().into()).or_insert(0) += put;
+        let placed = full as u32 * each + rest;
+        open.left -= placed;
+        *open.zones.entry(zone.as_str().into()).or_insert(0) += placed;
     }
 
-    /// The kind with the lowest price for each task that would go on it.
-    fn cheapest(
-        &self,
-        n: usize,
-        need: &Need,
-        left: u32,
-        used: &Zones,
-        ok: &[bool],
-    ) -> Option<usize> {
-        let room_of = Room::of(&need.spec);
+    /// The offer with the lowest price for each task that would go on it.
+    fn cheapest(&self, open: &OpenDemand) -> Option<usize> {
+        let price_of_place =
+            |offer: &Offer| offer.price / f64::from(offer.capacity.count_of(open.per_task));
         let spot_price = self
             .offers
             .iter()
-            .filter(|o| o.kind.spot)
-            .map(|o| o.price / f64::from(o.room.times(room_of)))
+            .filter(|offer| offer.kind.spot)
+            .map(price_of_place)
             .fold(f64::INFINITY, f64::min);
+        let price_max = open.demand.ordinary_price_ratio * spot_price;
         let mut best: Option<(f64, usize)> = None;
-        for (k, o) in self.offers.iter().enumerate() {
-            let fit = o.room.times(room_of);
-            if fit == 0
-                || !ok[k]
-                || o.blocked
-                || need.zone_room(&o.kind.zone, used) == 0
-                || (need.spec.spot
-                    && !o.kind.spot
-                    && o.price / f64::from(fit) > need.dear * spot_price)
+        for (index, offer) in self.offers.iter().enumerate() {
+            let fitting = offer.capacity.count_of(open.per_task);
+            let ordinary_for_spot = open.demand.spec.spot && !offer.kind.spot;
+            if fitting == 0
+                || !open.allowed[index]
+                || offer.blocked
+                || open.allowed_in_zone(&offer.kind.zone) == 0
+                || (ordinary_for_spot && price_of_place(offer) > price_max)
             {
                 continue;
             }
             // What later jobs could still put on it counts.
-            let more = self.later[n + 1][k];
-            let per = o.price / f64::from(fit.min(left.saturating_add(more)).max(1));
-            if best.is_none_or(|b| per < b.0 - 1e-9) {
-                best = Some((per, k));
+            let later = self.later_tasks[open.index + 1][index];
+            let tasks = fitting.min(open.left.saturating_add(later)).max(1);
+            let price = offer.price / f64::from(tasks);
+            if best.is_none_or(|(lowest, _)| price < lowest - PRICE_EPSILON) {
+                best = Some((price, index));
             }
         }
-        best.map(|b| b.1)
+        best.map(|(_, index)| index)
     }
 }
--- a/src/job.rs
+++ b/src/job.rs
@@ -1,14 +1,17 @@
-//! Jobs as the state service keeps them: one compact record each.
+//! Jobs, and the compact record of each that the state service keeps.
 
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
 
-use crate::packed;
+use crate::packed_record;
 
+/// How the tasks of a job belong together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Shape {
+    /// Independent tasks.
     #[serde(rename = "a")]
     Array,
+    /// All tasks run at the same time, or none does.
     #[serde(rename = "g")]
     Gang,
     /// Placed like an array; its tasks run until the job is cancelled.
@@ -16,158 +19,264 @@
     Service,
 }
 
-/// In rising order.
+/// The priority of a job, in rising order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Urgency {
+pub enum Priority {
+    /// Takes what is left over.
     #[serde(rename = "l")]
     Low,
+    /// The usual one.
     #[serde(rename = "n")]
     Normal,
+    /// Before the usual ones.
     #[serde(rename = "h")]
     High,
+    /// Before all others.
     #[serde(rename = "p")]
-    Prod,
+    Production,
 }
 
 /// What the user asked for.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Spec {
+pub struct JobSpec {
+    /// The class that the job belongs to.
     #[serde(rename = "c")]
     pub class: String,
+    /// The team whose guarantee and limit apply.
     #[serde(rename = "t")]
     pub team: String,
+    /// How its tasks belong together.
     #[serde(rename = "s")]
     pub shape: Shape,
+    /// Its priority.
     #[serde(rename = "u")]
-    pub urgency: Urgency,
+    pub priority: Priority,
+    /// The number of tasks.
     #[serde(rename = "n")]
     pub tasks: u32,
-    #[serde(rename = "cp", deserialize_with = "crate::wire::num")]
+    /// CPUs of each task.
+    #[serde(rename = "cp", deserialize_with = "crate::wire::number")]
     pub cpus: f64,
-    #[serde(rename = "gp", deserialize_with = "crate::wire::num")]
+    /// GPUs of each task.
+    #[serde(rename = "gp", deserialize_with = "crate::wire::number")]
     pub gpus: f64,
-    #[serde(rename = "me", deserialize_with = "crate::wire::num")]
-    pub mem: f64,
+    /// Memory of each task.
+    #[serde(rename = "me", deserialize_with = "crate::wire::number")]
+    pub memory_gb: f64,
+    /// The machine types that are allowed; `None` for any.
     #[serde(rename = "ty", default, skip_serializing_if = "Option::is_none")]
-    pub types: Option<Vec<String>>,
+    pub machine_types: Option<Vec<String>>,
+    /// The only zone that is allowed; `None` for any.
     #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
     pub zone: Option<String>,
+    /// All tasks must be in the same zone.
     #[serde(rename = "oz", default)]
-    pub one_zone: bool,
+    pub single_zone: bool,
+    /// At most half of the tasks may be in one zone.
     #[serde(rename = "sp", default)]
     pub spread: bool,
+    /// The job may use spot machines.
     #[serde(rename = "so", default)]
     pub spot: bool,
+    /// The image that a machine must have first.
     #[serde(rename = "i")]
     pub image: String,
-    #[serde(rename = "ig", deserialize_with = "crate::wire::num")]
+    /// The image's size.
+    #[serde(rename = "ig", deserialize_with = "crate::wire::number")]
     pub image_gb: f64,
-    #[serde(rename = "ex", deserialize_with = "crate::wire::num")]
+    /// The owner's estimate of a task's run time.
+    #[serde(rename = "ex", deserialize_with = "crate::wire::number")]
     pub expected_s: f64,
-    #[serde(rename = "ck", deserialize_with = "crate::wire::num")]
-    pub checkpoint_s: f64,
-    #[serde(rename = "sv", deserialize_with = "crate::wire::num")]
+    /// Progress between two checkpoints; 0 if tasks never save.
+    #[serde(rename = "ck", deserialize_with = "crate::wire::number")]
+    pub checkpoint_interval_s: f64,
+    /// Time that a task needs to save when it is stopped.
+    #[serde(rename = "sv", deserialize_with = "crate::wire::number")]
     pub save_s: f64,
+    /// When the job should be done, from its submission.
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
-    pub due_s: Option<f64>,
+    pub deadline_s: Option<f64>,
     /// Jobs that have to be done before any task of this one starts.
     #[serde(rename = "dp", default, skip_serializing_if = "Vec::is_empty")]
-    pub needs: Vec<String>,
+    pub dependencies: Vec<String>,
 }
 
 /// A set of task numbers, kept as sorted inclusive ranges.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Ranges(pub Vec<(u32, u32)>);
+pub struct TaskSet(pub Vec<(u32, u32)>);
 
-impl Ranges {
-    pub fn contains(&self, n: u32) -> bool {
-        let i = self.0.partition_point(|r| r.1 < n);
-        self.0.get(i).is_some_and(|r| r.0 <= n)
+impl TaskSet {
+    /// Whether a task is in the set.
+    pub fn contains(&self, task: u32) -> bool {
+        let index = self.first_range_from(task);
+        self.0.get(index).is_some_and(|range| range.0 <= task)
     }
-    pub fn insert(&mut self, n: u32) {
-        let i = self.0.partition_point(|r| r.1 < n);
-        if self.0.get(i).is_some_and(|r| r.0 <= n) {
+
+    /// Adds a task.
+    pub fn insert(&mut self, task: u32) {
+        if self.contains(task) {
             return;
         }
-        self.0.insert(i, (n, n));
-        if i + 1 < self.0.len() && self.0[i + 1].0 == n + 1 {
-            self.0[i].1 = self.0[i + 1].1;
-            self.0.remove(i + 1);
+        let index = self.first_range_from(task);
+        self.0.insert(index, (task, task));
+        if index + 1 < self.0.len() && self.0[index + 1].0 == task + 1 {
+            self.0[index].1 = self.0[index + 1].1;
+            self.0.remove(index + 1);
         }
-        if i > 0 && self.0[i - 1].1 + 1 == n {
-            self.0[i - 1].1 = self.0[i].1;
-            self.0.remove(i);
+        if index > 0 && self.0[index - 1].1 + 1 == task {
+            self.0[index - 1].1 = self.0[index].1;
+            self.0.remove(index);
         }
     }
+
+    /// The first range that ends at this task or later.
+    fn first_range_from(&self, task: u32) -> usize {
+        self.0.partition_point(|range| range.1 < task)
+    }
+
+    /// Makes it the set of the first `count` tasks.
     pub fn fill(&mut self, count: u32) {
-        self.0 = if count == 0 {
-            vec![]
-        } else {
-            vec![(0, count - 1)]
-        };
+        self.0.clear();
+        if count > 0 {
+            self.0.push((0, count - 1));
+        }
     }
+
+    /// The number of tasks in the set.
     pub fn len(&self) -> u64 {
-        self.0.iter().map(|r| u64::from(r.1 - r.0) + 1).sum()
+        let lengths = self.0.iter().map(|range| u64::from(range.1 - range.0) + 1);
+        lengths.sum()
     }
+
+    /// Whether no task is in the set.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 }
 
-/// `count` tasks from `first` on that may be on `machine` under `attempt`.
+/// Tasks with successive numbers that may be on a machine under one attempt. Stored
+/// as a list of four.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Run(pub u32, pub u32, pub u64, pub String);
+#[serde(from = "(u32, u32, u64, String)", into = "(u32, u32, u64, String)")]
+pub struct TaskRun {
+    /// The first task.
+    pub first: u32,
+    /// How many tasks.
+    pub count: u32,
+    /// Their attempt.
+    pub attempt: u64,
+    /// The machine's name.
+    pub machine: String,
+}
+
+impl TaskRun {
+    /// The run of a single task.
+    pub fn single(task: u32, attempt: u64, machine: impl Into<String>) -> TaskRun {
+        TaskRun {
+            first: task,
+            count: 1,
+            attempt,
+            machine: machine.into(),
+        }
+    }
+}
+
+impl From<(u32, u32, u64, String)> for TaskRun {
+    fn from((first, count, attempt, machine): (u32, u32, u64, String)) -> TaskRun {
+        TaskRun {
+            first,
+            count,
+            attempt,
+            machine,
+        }
+    }
+}
+
+impl From<TaskRun> for (u32, u32, u64, String) {
+    fn from(run: TaskRun) -> Self {
+        (run.first, run.count, run.attempt, run.machine)
+    }
+}
+
+/// Which leader wrote a record last. Stored as a list of two.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u64, u64)", into = "(u64, u64)")]
+pub struct RecordWriter {
+    /// The leader's epoch; 0 if no leader has written it.
+    pub epoch: u64,
+    /// The leader's count of changes of the job.
+    pub change: u64,
+}
+
+impl From<(u64, u64)> for RecordWriter {
+    fn from((epoch, change): (u64, u64)) -> RecordWriter {
+        RecordWriter { epoch, change }
+    }
+}
+
+impl From<RecordWriter> for (u64, u64) {
+    fn from(writer: RecordWriter) -> Self {
+        (writer.epoch, writer.change)
+    }
+}
 
 /// The record of a job that is not over.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Record {
+pub struct JobRecord {
+    /// What was asked for.
     #[serde(rename = "j")]
-    pub spec: Spec,
+    pub spec: JobSpec,
     /// Time of day of the first submission, in milliseconds.
     #[serde(rename = "at")]
-    pub at: u64,
+    pub submitted_at: u64,
+    /// Its user has cancelled it.
     #[serde(rename = "x", default)]
     pub cancelled: bool,
-    /// The next attempt: numbers below were given out.
+    /// The next attempt; lower numbers have been used.
     #[serde(rename = "a")]
-    pub next: u64,
+    pub next_attempt: u64,
+    /// The tasks that are done.
     #[serde(rename = "f", default)]
-    pub done: Ranges,
+    pub done: TaskSet,
+    /// The tasks that may be on a machine.
     #[serde(rename = "r", default)]
-    pub runs: Vec<Run>,
-    /// Which leader wrote this last, and its count of changes then.
+    pub runs: Vec<TaskRun>,
+    /// Who wrote it last.
     #[serde(rename = "w", default)]
-    pub writer: (u64, u64),
+    pub writer: RecordWriter,
 }
 
-impl Record {
-    pub fn new(spec: Spec, at: u64) -> Record {
-        Record {
+impl JobRecord {
+    /// The record of a job that was just submitted.
+    pub fn new(spec: JobSpec, submitted_at: u64) -> JobRecord {
+        JobRecord {
             spec,
-            at,
+            submitted_at,
             cancelled: false,
-            next: 1,
-            done: Ranges::default(),
+            next_attempt: 1,
+            done: TaskSet::default(),
             runs: vec![],
-            writer: (0, 0),
+            writer: RecordWriter::default(),
         }
     }
-    /// Tasks that may be on a machine.
-    pub fn placed(&self) -> u64 {
-        self.runs.iter().map(|r| u64::from(r.1)).sum()
+
+    /// How many tasks may be on a machine.
+    pub fn placed_tasks(&self) -> u64 {
+        self.runs.iter().map(|run| u64::from(run.count)).sum()
     }
-    /// As it is stored: so that the version before this one can read it, or from
-    /// format 1 on with its body packed.
+
+    /// As it is stored: before [`PACKED_FORMAT`] so that the version in production can
+    /// read it, from then on with its body packed.
     pub fn to_value(&self, format: u64) -> Value {
-        let packed = (format >= PACKED)
-            .then(|| packed::pack(self.spec.tasks, &self.done, &self.runs))
+        let packed = (format >= PACKED_FORMAT)
+            .then(|| packed_record::pack(self.spec.tasks, &self.done, &self.runs))
             .flatten();
         match packed {
-            Some(body) => Value::serialized(&Stored {
+            Some(body) => Value::serialized(&PackedRecord {
                 spec: self.spec.clone(),
-                at: self.at,
+                submitted_at: self.submitted_at,
                 cancelled: self.cancelled,
-                next: self.next,
+                next_attempt: self.next_attempt,
                 body,
                 writer: self.writer,
             }),
@@ -175,90 +284,100 @@
         }
         .unwrap_or(Value::Null)
     }
-    pub fn from_value(v: &Value) -> Option<Record> {
-        if let Ok(r) = v.deserialized() {
-            return Some(r);
+
+    /// Reads a stored record of either form.
+    pub fn from_value(value: &Value) -> Option<JobRecord> {
+        if let Ok(record) = value.deserialized() {
+            return Some(record);
         }
-        let s: Stored = v.deserialized().ok()?;
-        let (done, runs) = packed::unpack(s.spec.tasks, &s.body)?;
-        Some(Record {
-            spec: s.spec,
-            at: s.at,
-            cancelled: s.cancelled,
-            next: s.next,
+        let packed: PackedRecord = value.deserialized().ok()?;
+        let (done, runs) = packed_record::unpack(packed.spec.tasks, &packed.body)?;
+        Some(JobRecord {
+            spec: packed.spec,
+            submitted_at: packed.submitted_at,
+            cancelled: packed.cancelled,
+            next_attempt: packed.next_attempt,
             done,
             runs,
-            writer: s.writer,
+            writer: packed.writer,
         })
     }
 }
 
-/// From this format on records are packed, and a version that does not know them
-/// runs nowhere any more.
-pub const PACKED: u64 = 1;
+/// The format from which on records are packed and no version that does not know them
+/// runs any more.
+pub const PACKED_FORMAT: u64 = 1;
 
-/// A record in format 1. The next attempt has another name than before, so that a
-/// version which does not know the form can't take the record for an empty one.
+/// A record in [`PACKED_FORMAT`]. The next attempt has another name than before, so
+/// that a version which does not know the form can't take the record for an empty one.
 #[derive(Serialize, Deserialize)]
-struct Stored {
+struct PackedRecord {
     #[serde(rename = "j")]
-    spec: Spec,
+    spec: JobSpec,
     #[serde(rename = "at")]
-    at: u64,
+    submitted_at: u64,
     #[serde(rename = "x", default, skip_serializing_if = "is_false")]
     cancelled: bool,
     #[serde(rename = "n")]
-    next: u64,
+    next_attempt: u64,
     #[serde(rename = "p")]
     body: String,
     #[serde(rename = "w")]
-    writer: (u64, u64),
+    writer: RecordWriter,
 }
 
-fn is_false(b: &bool) -> bool {
-    !b
+fn is_false(flag: &bool) -> bool {
+    !flag
 }
 
-/// A value's size as the state service counts it.
-pub fn json_len(v: &Value) -> usize {
-    serde_json::to_vec(v).map_or(usize::MAX, |t| t.len())
+/// A value's size as the state service counts it, in bytes.
+pub fn json_length(value: &Value) -> usize {
+    serde_json::to_vec(value).map_or(usize::MAX, |text| text.len())
 }
 
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Final {
+pub enum FinalState {
+    /// All tasks are done.
     Done,
-    Withdrawn,
+    /// It was cancelled.
+    Cancelled,
 }
 
-impl Final {
+impl FinalState {
+    /// As it is stored.
     pub fn to_value(self) -> Value {
         Value::Text(match self {
-            Final::Done => "d".into(),
-            Final::Withdrawn => "w".into(),
+            FinalState::Done => "d".into(),
+            FinalState::Cancelled => "w".into(),
         })
     }
-    pub fn from_value(v: &Value) -> Option<Final> {
-        match v.as_text()? {
-            "d" => Some(Final::Done),
-            "w" => Some(Final::Withdrawn),
+
+    /// Reads a stored final state.
+    pub fn from_value(value: &Value) -> Option<FinalState> {
+        match value.as_text()? {
+            "d" => Some(FinalState::Done),
+            "w" => Some(FinalState::Cancelled),
             _ => None,
         }
     }
-    pub fn name(self) -> &'static str {
+
+    /// As users are told.
+    pub fn status(self) -> &'static str {
         match self {
-            Final::Done => crate::wire::DONE,
-            Final::Withdrawn => crate::wire::WITHDRAWN,
+            FinalState::Done => crate::wire::DONE,
+            FinalState::Cancelled => crate::wire::WITHDRAWN,
         }
     }
 }
 
-/// `run-000412/3`, as workers name tasks.
+/// A task's name as workers know it, such as `run-000412/3`.
 pub fn task_name(job: &str, task: u32) -> String {
     format!("{job}/{task}")
 }
 
-pub fn split_task(name: &str) -> Option<(&str, u32)> {
-    let (job, n) = name.rsplit_once('/')?;
-    Some((job, n.parse().ok()?))
+/// The job and number behind a task's name.
+pub fn parse_task_name(name: &str) -> Option<(&str, u32)> {
+    let (job, number) = name.rsplit_once('/')?;
+    Some((job, number.parse().ok()?))
 }
--- /dev/null
+++ b/src/leader_lease.rs
@@ -0,0 +1,249 @@
+//! The leader lease: one key in the state service that lives as long as its holder's
+//! grant, and an epoch that rises with each election and fences earlier leaders.
+
+use crate::replica::{LeaderKey, Replica};
+use crate::settings::{ClusterSettings, OperatorSettings};
+
+/// Processor time that may be asked for at once, as after a takeover: a grant
+/// has to outlast it, however small the share.
+const STALL_CORE_S: f64 = 0.2;
+/// Longest life of a grant, as a share of a worker's lease.
+const LIFE_SHARE_MAX: f64 = 0.25;
+/// Shortest life that the state service gives a grant.
+const LIFE_MIN_MS: u64 = 100;
+
+/// How long a leader's grant lives without a renewal.
+pub fn lease_life_ms(cluster: &ClusterSettings, operator: &OperatorSettings) -> u64 {
+    let lease_s = cluster.workers.lease_s;
+    let life = (lease_s * operator.leader_life_share)
+        .max(STALL_CORE_S / cluster.limits.cpu_share)
+        .min(lease_s * LIFE_SHARE_MAX);
+    (life * 1000.0) as u64
+}
+
+/// A request to the state service.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LeaseRequest {
+    /// Ask for a grant.
+    Grant,
+    /// Take the key and raise the epoch; the keys must still have these versions.
+    Elect {
+        /// The grant that the key is attached to.
+        grant: u64,
+        /// The epoch of the new leadership.
+        epoch: u64,
+        /// The version of [`crate::replica::LEADER_KEY`].
+        leader_version: u64,
+        /// The version of [`crate::replica::LEASE_KEY`].
+        lease_version: u64,
+        /// The version of [`crate::replica::EPOCH_KEY`].
+        epoch_version: u64,
+        /// By the key that the version in production does not know.
+        fenced: bool,
+    },
+    /// Renew this grant.
+    Renew(u64),
+    /// End this grant.
+    Revoke(u64),
+}
+
+/// What came of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum LeaseResponse {
+    /// The grant that was asked for.
+    Granted(u64),
+    /// The key is ours.
+    Elected {
+        /// The epoch of the new leadership.
+        epoch: u64,
+        /// The version of the key.
+        version: u64,
+    },
+    /// Another controller was faster, or the grant has ended.
+    Lost,
+    /// The grant was renewed.
+    Renewed,
+    /// No answer, or a refusal: nothing is known.
+    Unknown,
+}
+
+/// Where a controller stands.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum LeaseState {
+    /// Another controller leads, or nobody does.
+    Following,
+    /// It asks for a grant.
+    Granting,
+    /// It has a grant and tries to take the key.
+    Electing {
+        /// The grant.
+        grant: u64,
+    },
+    /// It has the key.
+    Leading {
+        /// The grant that the key lives as long as.
+        grant: u64,
+        /// The epoch of the leadership.
+        epoch: u64,
+        /// The version of the key.
+        version: u64,
+    },
+}
+
+/// A controller's part in the election and the renewal of its lease.
+#[derive(Debug)]
+pub struct LeaderLease {
+    member: String,
+    /// How long a grant lives without a renewal.
+    pub life_ms: u64,
+    /// Where this controller stands.
+    pub state: LeaseState,
+    /// When the request in flight was sent.
+    sent_at: Option<u64>,
+    /// When the last renewal that was answered had been sent.
+    pub renewed_at: u64,
+    next_request_at: u64,
+    /// Until then others are to try first.
+    standby_until: u64,
+}
+
+impl LeaderLease {
+    /// A controller that follows.
+    pub fn new(member: &str, life_ms: u64) -> LeaderLease {
+        LeaderLease {
+            member: member.to_string(),
+            life_ms: life_ms.max(LIFE_MIN_MS),
+            state: LeaseState::Following,
+            sent_at: None,
+            renewed_at: 0,
+            next_request_at: 0,
+            standby_until: 0,
+        }
+    }
+
+    /// The epoch of its leadership, if it leads.
+    pub fn epoch(&self) -> Option<u64> {
+        match self.state {
+            LeaseState::Leading { epoch, .. } => Some(epoch),
+            _ => None,
+        }
+    }
+
+    /// Whether it leads and the grant can't have ended, even on a clock that drifts.
+    pub fn is_certain(&self, now: u64) -> bool {
+        let leads = matches!(self.state, LeaseState::Leading { .. });
+        leads && now < self.renewed_at + self.life_ms * 9 / 10
+    }
+
+    /// The next request, if it is time for one.
+    pub fn tick(&mut self, now: u64, replica: &Replica, jitter: f64) -> Option<LeaseRequest> {
+        if self.sent_at.is_some() || now < self.next_request_at {
+            return None;
+        }
+        let request = match self.state {
+            LeaseState::Following => {
+                if !self.may_stand(now, replica) {
+                    return None;
+                }
+                self.state = LeaseState::Granting;
+                LeaseRequest::Grant
+            }
+            LeaseState::Granting => LeaseRequest::Grant,
+            LeaseState::Electing { grant } => {
+                let another = |key: &(LeaderKey, u64)| key.0.member != self.member;
+                if replica.leader().is_some_and(another) {
+                    self.state = LeaseState::Following;
+                    let pause = self.life_ms as f64 * (0.1 + 0.1 * jitter);
+                    self.next_request_at = now + pause as u64;
+                    return Some(LeaseRequest::Revoke(grant));
+                }
+                election(grant, replica)
+            }
+            LeaseState::Leading { grant, .. } => LeaseRequest::Renew(grant),
+        };
+        self.sent_at = Some(now);
+        Some(request)
+    }
+
+    /// Whether the key is free, or of this process' earlier life.
+    fn may_stand(&self, now: u64, replica: &Replica) -> bool {
+        let free = match replica.leader() {
+            None => true,
+            Some((leader, _)) => leader.member == self.member,
+        };
+        replica.loaded && now >= self.standby_until && free
+    }
+
+    /// Takes in the response to the last request. True if leadership began or ended.
+    pub fn on_response(&mut self, now: u64, response: LeaseResponse) -> bool {
+        let sent_at = self.sent_at.take().unwrap_or(now);
+        let soon = now + self.life_ms / 20;
+        match (self.state, response) {
+            (LeaseState::Granting, LeaseResponse::Granted(grant)) => {
+                self.state = LeaseState::Electing { grant };
+                self.next_request_at = now;
+                self.renewed_at = sent_at;
+            }
+            (LeaseState::Electing { grant }, LeaseResponse::Elected { epoch, version }) => {
+                self.state = LeaseState::Leading {
+                    grant,
+                    epoch,
+                    version,
+                };
+                self.next_request_at = now + self.life_ms / 4;
+                return true;
+            }
+            // The replica may lag: try again shortly. The grant runs out.
+            (LeaseState::Electing { .. }, _) => {
+                self.state = LeaseState::Following;
+                self.next_request_at = soon;
+            }
+            (LeaseState::Leading { .. }, LeaseResponse::Renewed) => {
+                self.renewed_at = self.renewed_at.max(sent_at);
+                self.next_request_at = sent_at + self.life_ms / 4;
+            }
+            (LeaseState::Leading { .. }, LeaseResponse::Lost) => {
+                self.state = LeaseState::Following;
+                self.next_request_at = soon;
+                return true;
+            }
+            _ => self.next_request_at = soon,
+        }
+        false
+    }
+
+    /// Gives leadership up and lets others try first.
+    pub fn resign(&mut self, now: u64, standby_ms: u64) -> Option<LeaseRequest> {
+        let LeaseState::Leading { grant, .. } = self.state else {
+            return None;
+        };
+        self.state = LeaseState::Following;
+        self.standby_until = now + standby_ms;
+        Some(LeaseRequest::Revoke(grant))
+    }
+
+    /// The keys have changed in the replica. True if that ended leadership: the key is
+    /// another's, or gone.
+    pub fn on_replica_change(&mut self, replica: &Replica) -> bool {
+        let LeaseState::Leading { version, .. } = self.state else {
+            return false;
+        };
+        if replica.leader().is_some_and(|key| key.1 == version) {
+            return false;
+        }
+        self.state = LeaseState::Following;
+        true
+    }
+}
+
+fn election(grant: u64, replica: &Replica) -> LeaseRequest {
+    let version = |key: &Option<(LeaderKey, u64)>| key.as_ref().map_or(0, |key| key.1);
+    LeaseRequest::Elect {
+        grant,
+        epoch: replica.epoch + 1,
+        leader_version: version(&replica.leader_key),
+        lease_version: version(&replica.lease_key),
+        epoch_version: replica.epoch_version,
+        fenced: replica.fenced(),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,22 +1,25 @@
 //! gaugesill: a cluster scheduler that starts gangs all or nothing.
 //!
-//! The core modules take events and the time and return actions; `net` and
-//! `serve` alone know sockets, threads and clocks.
+//! The core modules take events and the time and return actions; [`net`] and
+//! [`serve`] alone know sockets, threads and clocks.
 
+#![warn(missing_docs)]
+
+pub mod admission;
 pub mod cloud;
-pub mod control;
-pub mod deps;
-pub mod fleet;
-pub mod front;
+pub mod dependencies;
 pub mod job;
-pub mod lead;
+pub mod leader_lease;
+pub mod machine;
 pub mod mesh;
 pub mod net;
 pub mod node;
-pub mod packed;
+pub mod packed_record;
 pub mod plan;
+pub mod rate_limit;
+pub mod replica;
+pub mod scheduler;
 pub mod serve;
 pub mod settings;
-pub mod state;
-pub mod store;
 pub mod wire;
+pub mod write_queue;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,10 @@
+//! The command line of gaugesill.
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
-use gaugesill::settings::{Operator, Settings};
+use gaugesill::settings::{OperatorSettings, Settings};
 use tracing_subscriber::filter::LevelFilter;
 
 /// A cluster scheduler that starts gangs all or nothing.
@@ -20,35 +22,35 @@
     check: bool,
 }
 
-fn level() -> Result<LevelFilter, String> {
+fn log_level() -> Result<LevelFilter, String> {
     match std::env::var("LOG_LEVEL") {
         Err(_) => Ok(LevelFilter::INFO),
-        Ok(s) if s.is_empty() => Ok(LevelFilter::INFO),
-        Ok(s) => s
+        Ok(text) if text.is_empty() => Ok(LevelFilter::INFO),
+        Ok(text) => text
             .parse()
-            .map_err(|_| format!("LOG_LEVEL: not a level: {s}")),
+            .map_err(|_| format!("LOG_LEVEL: not a level: {text}")),
     }
 }
 
 fn run() -> Result<(), String> {
     let args = Args::parse();
     tracing_subscriber::fmt()
-        .with_max_level(level()?)
+        .with_max_level(log_level()?)
         .with_writer(std::io::stderr)
         .with_target(false)
         .without_time()
         .with_ansi(false)
         .init();
-    let set = Settings::load(&args.config).map_err(|e| e.to_string())?;
-    let op = match &args.operator {
-        Some(f) => Operator::load(f).map_err(|e| e.to_string())?,
-        None => Operator::default(),
+    let settings = Settings::load(&args.config).map_err(|e| e.to_string())?;
+    let operator = match &args.operator {
+        Some(file) => OperatorSettings::load(file).map_err(|e| e.to_string())?,
+        None => OperatorSettings::default(),
     };
     if args.check {
         println!("settings are fine");
         return Ok(());
     }
-    gaugesill::serve::serve(set, op).map_err(|e| format!("the event loop failed: {e}"))
+    gaugesill::serve::serve(settings, operator).map_err(|e| format!("the event loop failed: {e}"))
 }
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/src/net/http_client.rs
@@ -0,0 +1,222 @@
+//! Calls to others, and their replies.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use mio::net::TcpStream;
+use mio::{Interest, Token};
+
+use super::connection::{ClientPart, Connection, Role};
+use super::event_loop::{EventLoop, REPLY_MAX};
+use super::http_server::{is_connection_close, parse_length};
+use super::{Event, Outcome, HEAD_MAX};
+
+const HEADERS_MAX: usize = 48;
+/// Largest head of a reply.
+const REPLY_HEAD_MAX: usize = 4 * HEAD_MAX;
+
+/// The head of a reply.
+struct ReplyHead {
+    length: usize,
+    status: u16,
+    body_length: Option<usize>,
+    close: bool,
+}
+
+/// What the input holds.
+enum Parsed {
+    Head(ReplyHead),
+    Incomplete,
+    Invalid,
+}
+
+impl EventLoop {
+    /// Sends a request; the outcome comes as an event with the same tag.
+    pub fn call(
+        &mut self,
+        tag: u64,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        timeout: Duration,
+    ) {
+        let message = request_message(address, method, path, body);
+        let now = Instant::now();
+        let part = ClientPart {
+            address,
+            call: Some(tag),
+            deadline: now + timeout,
+        };
+        match self.idle_connection(address) {
+            Some(id) => self.call_on(id, part, message, now),
+            None => {
+                if self.open(part, message, now).is_none() {
+                    let outcome = Outcome::NotSent;
+                    self.ready.push(Event::Reply { tag, outcome });
+                }
+            }
+        }
+    }
+
+    /// A kept-open connection that is not in use.
+    fn idle_connection(&mut self, address: SocketAddr) -> Option<usize> {
+        while let Some(id) = self.pool.get_mut(&address).and_then(Vec::pop) {
+            match self.connections.get(&id) {
+                Some(connection) if connection.eof => self.close(id),
+                Some(_) => return Some(id),
+                None => {}
+            }
+        }
+        None
+    }
+
+    fn call_on(&mut self, id: usize, part: ClientPart, message: Vec<u8>, now: Instant) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        connection.role = Role::Client(part);
+        connection.output = message;
+        connection.sent = 0;
+        connection.used_at = now;
+        self.calling.insert(id);
+        self.flush(id);
+    }
+
+    /// Opens a connection for a call. `None` if that can't be done.
+    fn open(&mut self, part: ClientPart, message: Vec<u8>, now: Instant) -> Option<()> {
+        let address = part.address;
+        let is_vital = self.limits.vital.contains(&address);
+        if !is_vital && !self.make_room_for_client() {
+            return None;
+        }
+        let mut socket = TcpStream::connect(address).ok()?;
+        if is_vital {
+            let _ = socket.set_nodelay(true);
+        }
+        let id = self.take_id();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let registry = self.poll.registry();
+        registry.register(&mut socket, Token(id), interest).ok()?;
+        self.clients += usize::from(!is_vital);
+        self.calling.insert(id);
+        let connection = Connection::opening(socket, part, message, is_vital, now);
+        self.connections.insert(id, connection);
+        Some(())
+    }
+
+    /// Room for one more call to a worker: the connection idle the longest goes. False if
+    /// all are in use.
+    fn make_room_for_client(&mut self) -> bool {
+        if self.clients < self.clients_max {
+            return true;
+        }
+        let idle = self
+            .connections
+            .iter()
+            .filter_map(|(id, connection)| match &connection.role {
+                Role::Client(part) => {
+                    let closable =
+                        part.call.is_none() && !self.limits.vital.contains(&part.address);
+                    closable.then_some((connection.used_at, *id))
+                }
+                Role::Server(_) => None,
+            });
+        if let Some((_, id)) = idle.min() {
+            self.close(id);
+        }
+        self.clients < self.clients_max
+    }
+
+    pub(super) fn parse_reply(&mut self, id: usize) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let Role::Client(part) = &mut connection.role else {
+            return;
+        };
+        if part.call.is_none() {
+            // Nothing was asked: the other side has closed it or is confused.
+            if connection.eof || !connection.input.is_empty() {
+                self.close(id);
+            }
+            return;
+        }
+        let head = match parse_head(&connection.input) {
+            Parsed::Head(head) => head,
+            Parsed::Incomplete => return,
+            Parsed::Invalid => return self.close(id),
+        };
+        let end = match head.body_length {
+            Some(length) if length > REPLY_MAX => return self.close(id),
+            Some(length) => head.length + length,
+            None if matches!(head.status, 204 | 304) => head.length,
+            // Without a length the body ends with the connection.
+            None if connection.eof => connection.input.len(),
+            None => return,
+        };
+        if connection.input.len() < end {
+            return;
+        }
+        let body = connection.input[head.length..end].to_vec();
+        connection.input.drain(..end);
+        connection.used_at = self.now;
+        let address = part.address;
+        let tag = part.call.take();
+        let reusable = !head.close
+            && !connection.eof
+            && connection.input.is_empty()
+            && head.body_length.is_some();
+        self.calling.remove(&id);
+        if let Some(tag) = tag {
+            let outcome = Outcome::Answer {
+                status: head.status,
+                body,
+            };
+            self.ready.push(Event::Reply { tag, outcome });
+        }
+        if reusable {
+            self.pool.entry(address).or_default().push(id);
+        } else {
+            self.close(id);
+        }
+    }
+}
+
+fn request_message(address: SocketAddr, method: &str, path: &str, body: &[u8]) -> Vec<u8> {
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\n");
+    if !body.is_empty() || method == "POST" {
+        let length = body.len();
+        head.push_str("Content-Type: application/cbor\r\n");
+        head.push_str(&format!("Content-Length: {length}\r\n"));
+    }
+    head.push_str("\r\n");
+    let mut message = head.into_bytes();
+    message.extend_from_slice(body);
+    message
+}
+
+fn parse_head(input: &[u8]) -> Parsed {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut response = httparse::Response::new(&mut headers);
+    let length = match response.parse(input) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if input.len() > REPLY_HEAD_MAX => return Parsed::Invalid,
+        Ok(httparse::Status::Partial) => return Parsed::Incomplete,
+        Err(_) => return Parsed::Invalid,
+    };
+    let mut head = ReplyHead {
+        length,
+        status: response.code.unwrap_or(0),
+        body_length: None,
+        close: false,
+    };
+    for header in response.headers.iter() {
+        if header.name.eq_ignore_ascii_case("content-length") {
+            head.body_length = parse_length(header.value);
+        } else if is_connection_close(header) {
+            head.close = true;
+        }
+    }
+    Parsed::Head(head)
+}
--- /dev/null
+++ b/src/node/calls.rs
@@ -0,0 +1,297 @@
+//! Calls to others, and what their outcomes mean.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use prost::Message;
+use tracing::warn;
+
+use super::{EventTime, Node};
+use crate::leader_lease::LeaseRequest;
+use crate::mesh::{ForwardedReply, PeerStatus};
+use crate::net::{Action, Outcome};
+use crate::scheduler::{DirectStart, RentalOutcome, ReportOrigin};
+use crate::wire;
+
+/// Longest time for a call to the state service that is not told otherwise.
+pub(super) const STATE_TIMEOUT_MS: u64 = 1500;
+/// The same for a read of a single key.
+pub(super) const READ_TIMEOUT_MS: u64 = 1000;
+
+/// What a call was for.
+#[derive(Debug)]
+pub(super) enum PendingCall {
+    /// The keys of leadership and versions.
+    LoadLeadership,
+    /// A page of job records.
+    LoadJobs,
+    /// Changes since a revision, as they come.
+    Watch { from: u64, asked: EventTime },
+    /// Changes since a revision, at once.
+    ReadChanges { from: u64, asked: EventTime },
+    /// A transaction of the write queue.
+    Transaction,
+    /// The election or renewal of the lease.
+    Lease(LeaseRequest),
+    /// The end of a grant.
+    Revoke,
+    /// How a job ended that a user asks about.
+    ReadFinal { user: u64 },
+    /// The record of a job that a submission names, or how it ended.
+    ReadDependency {
+        user: u64,
+        dependency: String,
+        is_final: bool,
+    },
+    /// How a job ended that a live one depends on.
+    LookUpDependency { dependency: String },
+    /// The cloud's machine types.
+    MachineTypes,
+    /// A page of the cloud's list.
+    MachineList { started_at: u64, epoch: u64 },
+    /// A rental.
+    Rent { booking: String, epoch: u64 },
+    /// A deletion.
+    Delete { machines: Vec<String>, epoch: u64 },
+    /// Commands to a worker, or a question.
+    Worker {
+        machine: Arc<str>,
+        epoch: u64,
+        starts: Vec<DirectStart>,
+    },
+    /// Another controller's status.
+    PeerStatus { member: String, sent_at: u64 },
+    /// A user's request that another controller is to decide.
+    Forward { user: u64 },
+}
+
+/// A request to be sent.
+pub(super) struct HttpCall {
+    pub method: &'static str,
+    pub path: String,
+    pub body: Vec<u8>,
+    pub timeout_ms: u64,
+}
+
+impl HttpCall {
+    pub fn get(path: impl Into<String>, timeout_ms: u64) -> HttpCall {
+        HttpCall {
+            method: "GET",
+            path: path.into(),
+            body: vec![],
+            timeout_ms,
+        }
+    }
+
+    pub fn post(path: impl Into<String>, body: Vec<u8>, timeout_ms: u64) -> HttpCall {
+        HttpCall {
+            method: "POST",
+            path: path.into(),
+            body,
+            timeout_ms,
+        }
+    }
+}
+
+impl PendingCall {
+    fn is_to_state_service(&self) -> bool {
+        matches!(
+            self,
+            PendingCall::LoadLeadership
+                | PendingCall::LoadJobs
+                | PendingCall::Watch { .. }
+                | PendingCall::ReadChanges { .. }
+                | PendingCall::Transaction
+                | PendingCall::Lease(_)
+                | PendingCall::ReadFinal { .. }
+                | PendingCall::ReadDependency { .. }
+                | PendingCall::LookUpDependency { .. }
+        )
+    }
+}
+
+impl Node {
+    pub(super) fn call(&mut self, pending: PendingCall, address: SocketAddr, call: HttpCall) {
+        self.stats.count_call(&pending);
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        self.calls.insert(tag, pending);
+        self.actions.push(Action::Call {
+            tag,
+            address,
+            method: call.method,
+            path: call.path,
+            body: call.body,
+            timeout_ms: call.timeout_ms,
+        });
+    }
+
+    pub(super) fn call_state_service(&mut self, pending: PendingCall, call: HttpCall) {
+        self.call(pending, self.settings.endpoints.state, call);
+    }
+
+    pub(super) fn call_cloud(&mut self, pending: PendingCall, call: HttpCall) {
+        self.call(pending, self.settings.endpoints.cloud, call);
+    }
+
+    /// Sends the transactions that the rate limits allow.
+    pub(super) fn send_writes(&mut self) {
+        loop {
+            let now = self.now.steady;
+            let tag = self.next_tag;
+            let next = self.writes.next(now, tag, &mut self.state_requests);
+            let Some(transaction) = next else {
+                break;
+            };
+            let body = wire::encode(&transaction);
+            let call = HttpCall::post("/txn", body, STATE_TIMEOUT_MS);
+            self.call_state_service(PendingCall::Transaction, call);
+        }
+    }
+
+    pub(super) fn on_reply(&mut self, tag: u64, call: PendingCall, outcome: Outcome) {
+        if call.is_to_state_service() {
+            self.note_state_outcome(&outcome);
+        }
+        match call {
+            PendingCall::LoadLeadership => self.on_leadership_page(&outcome),
+            PendingCall::LoadJobs => self.on_jobs_page(&outcome),
+            PendingCall::Watch { from, asked } => {
+                self.replication.watching = false;
+                self.on_changes(&outcome, from, asked, false);
+            }
+            PendingCall::ReadChanges { from, asked } => {
+                self.replication.reading = false;
+                self.on_changes(&outcome, from, asked, true);
+            }
+            PendingCall::Transaction => {
+                self.note_refused_write(&outcome);
+                for (owner, result) in self.writes.on_outcome(tag, &outcome) {
+                    self.on_commit(owner, result);
+                }
+            }
+            PendingCall::Lease(request) => self.on_lease_outcome(request, &outcome),
+            PendingCall::Revoke => {}
+            PendingCall::ReadFinal { user } => self.on_final_read(user, &outcome),
+            PendingCall::ReadDependency {
+                user,
+                dependency,
+                is_final,
+            } => self.on_dependency_read(user, dependency, is_final, &outcome),
+            PendingCall::LookUpDependency { dependency } => {
+                self.on_dependency_looked_up(&dependency, &outcome);
+            }
+            PendingCall::MachineTypes => self.on_machine_types(&outcome),
+            PendingCall::MachineList { started_at, epoch } => {
+                self.on_machine_list_page(started_at, epoch, &outcome);
+            }
+            PendingCall::Rent { booking, epoch } => self.on_rental(&booking, epoch, &outcome),
+            PendingCall::Delete { machines, epoch } => {
+                let now = self.now.steady;
+                let confirmed = matches!(outcome, Outcome::Answer { status: 200, .. });
+                if let Some(scheduler) = self.scheduler_of(epoch) {
+                    scheduler.on_deleted(&machines, confirmed, now);
+                }
+            }
+            PendingCall::Worker {
+                machine,
+                epoch,
+                starts,
+            } => self.on_worker_outcome(&machine, epoch, &starts, &outcome),
+            PendingCall::PeerStatus { member, sent_at } => {
+                self.on_status_outcome(&member, sent_at, &outcome);
+            }
+            PendingCall::Forward { user } => self.on_forward_outcome(user, &outcome),
+        }
+    }
+
+    fn on_rental(&mut self, booking: &str, epoch: u64, outcome: &Outcome) {
+        let now = self.now.steady;
+        let Some(scheduler) = self.scheduler_of(epoch) else {
+            return;
+        };
+        let rental = match outcome {
+            Outcome::Answer { status: 200, body } => {
+                let machines = wire::decode::<wire::MachineNames>(body);
+                machines.map_or(RentalOutcome::Failed, |m| RentalOutcome::Rented(m.names))
+            }
+            Outcome::Answer { status: 503, body } if wire::is_no_capacity(body) => {
+                RentalOutcome::Refused
+            }
+            Outcome::Answer { status: 400, .. } => {
+                warn!("the cloud refuses {booking} as malformed");
+                RentalOutcome::Refused
+            }
+            _ => RentalOutcome::Failed,
+        };
+        scheduler.on_rental(booking, rental, now);
+    }
+
+    fn on_worker_outcome(
+        &mut self,
+        machine: &str,
+        epoch: u64,
+        starts: &[DirectStart],
+        outcome: &Outcome,
+    ) {
+        let now = self.now.steady;
+        let Some(scheduler) = self.scheduler_of(epoch) else {
+            return;
+        };
+        // A start that was refused, or never sent, may go out anew; of one without an
+        // answer nothing is known.
+        let not_sent = *outcome == Outcome::NotSent;
+        let refused = matches!(
+            outcome,
+            Outcome::Answer {
+                status: 400 | 409,
+                ..
+            }
+        );
+        if not_sent || refused {
+            scheduler.on_start_failed(machine, starts, not_sent, now);
+        }
+        let Outcome::Answer {
+            status: 200 | 409,
+            body,
+        } = outcome
+        else {
+            return;
+        };
+        let Some(report) = wire::decode::<wire::Report>(body) else {
+            return;
+        };
+        if *report.machine != *machine {
+            return;
+        }
+        if report.epoch > epoch {
+            return self.resign("a worker has seen a higher epoch", 0);
+        }
+        scheduler.on_report(&report, ReportOrigin::DirectRequest, now);
+    }
+
+    fn on_status_outcome(&mut self, member: &str, sent_at: u64, outcome: &Outcome) {
+        if let Outcome::Answer { status: 200, body } = outcome {
+            if let Ok(status) = PeerStatus::decode(body.as_slice()) {
+                self.sync_cancellations(member, &status, sent_at);
+                self.on_peer_status(member, status);
+            }
+        }
+    }
+
+    fn on_forward_outcome(&mut self, user: u64, outcome: &Outcome) {
+        let reply = match outcome {
+            Outcome::Answer { status: 200, body } => ForwardedReply::decode(body.as_slice()).ok(),
+            _ => None,
+        };
+        let Some(reply) = reply else {
+            return self.finish_user(user, 503, Some(1), vec![]);
+        };
+        if wire::reports_cancelled(&reply.body) {
+            if let Some(id) = self.users.get(&user).map(|p| p.id.clone()) {
+                self.note_told_cancelled(&id);
+            }
+        }
+        self.finish_user(user, reply.status as u16, reply.retry_after, reply.body);
+    }
+}
--- /dev/null
+++ b/src/node/checkins.rs
@@ -0,0 +1,130 @@
+//! Workers' check-ins.
+
+use tracing::trace;
+
+use super::Node;
+use crate::scheduler::{ReportOrigin, Scheduler};
+use crate::wire::{self, Report};
+
+/// For how long an answer waits for starts, as a share of a report interval.
+const HOLD_REPORT_SHARE: f64 = 0.1;
+/// For this share of the time between a lease and `cancel_s`, reports are answered although
+/// there may be cancellations that this controller does not know of.
+const UNKNOWN_CANCELLATIONS_SHARE: f64 = 0.75;
+
+/// A check-in whose answer waits a moment for starts.
+#[derive(Debug)]
+pub(super) struct HeldCheckIn {
+    connection: usize,
+    report: Report,
+    until: u64,
+}
+
+impl Node {
+    pub(super) fn on_checkin(&mut self, connection: usize, body: &[u8]) {
+        let Some(report) = wire::decode::<Report>(body) else {
+            return self.answer(connection, 400, None, vec![]);
+        };
+        let Some(scheduler) = &self.scheduler else {
+            return self.redirect(connection, report);
+        };
+        if report.epoch > scheduler.epoch() {
+            self.resign("a worker has seen a higher epoch", 0);
+            return self.redirect(connection, report);
+        }
+        if !self.knows_recent_cancellations() {
+            return self.answer(connection, 503, Some(1), vec![]);
+        }
+        self.take_checkin(connection, report);
+    }
+
+    /// Whether no cancellation can run out that this controller does not know of: a worker
+    /// that hears nothing afterwards ends its tasks before that.
+    fn knows_recent_cancellations(&self) -> bool {
+        let workers = &self.settings.cluster.workers;
+        let bound_s = (workers.cancel_s - workers.lease_s) * UNKNOWN_CANCELLATIONS_SHARE;
+        let bound_ms = (bound_s * 1000.0) as u64;
+        let known_at = self.cancellations_known_at();
+        known_at.is_some_and(|at| self.now.steady <= at + bound_ms)
+    }
+
+    fn take_checkin(&mut self, connection: usize, report: Report) {
+        let now = self.now.steady;
+        let certain = self.lease.is_certain(now);
+        let Some(scheduler) = &mut self.scheduler else {
+            return;
+        };
+        let has_room = scheduler.on_report(&report, ReportOrigin::CheckIn, now);
+        self.worker_answered_at = Some(now);
+        if certain && has_room {
+            let hold_s = self.settings.cluster.workers.report_s * HOLD_REPORT_SHARE;
+            self.held_checkins.push(HeldCheckIn {
+                connection,
+                report,
+                until: now + (hold_s * 1000.0) as u64,
+            });
+        } else {
+            self.answer_checkin(connection, &report);
+        }
+    }
+
+    /// Sends a worker to the leader, if that is known.
+    fn redirect(&mut self, connection: usize, report: Report) {
+        let now = self.now.steady;
+        self.redirected_workers.insert(report.machine, now);
+        let leader = self.replica.leader().map(|(key, _)| key.member.clone());
+        let body = wire::encode(&wire::Redirect {
+            reports_to: leader.filter(|member| *member != self.settings.member),
+        });
+        self.answer(connection, 421, None, body);
+    }
+
+    /// Answers a check-in that was taken in, with what there is to do.
+    fn answer_checkin(&mut self, connection: usize, report: &Report) {
+        let now = self.now.steady;
+        let may_start = self.may_start();
+        let Some(scheduler) = &mut self.scheduler else {
+            // It led a moment ago: the next report finds out who does.
+            return self.answer(connection, 503, Some(1), vec![]);
+        };
+        let reply = wire::CommandBatch {
+            epoch: scheduler.epoch(),
+            session: None,
+            commands: scheduler.answer_commands(report, may_start, now),
+        };
+        trace!(
+            "{} {}/{} reports {:?}, gets {:?}",
+            report.machine,
+            report.session,
+            report.serial,
+            report.tasks,
+            reply.commands
+        );
+        self.answer(connection, 200, None, wire::encode(&reply));
+    }
+
+    /// Answers check-ins that wait for starts, as soon as those are on record, or without
+    /// them when the time is over.
+    pub(super) fn answer_held_checkins(&mut self) {
+        let now = self.now.steady;
+        // They came in this order, and all wait equally long.
+        let first_until = self.held_checkins.first().map(|held| held.until);
+        let has_startable = self.scheduler.as_ref().is_none_or(Scheduler::has_startable);
+        if !has_startable && first_until.is_none_or(|until| now < until) {
+            return;
+        }
+        let mut waiting = Vec::new();
+        for held in std::mem::take(&mut self.held_checkins) {
+            let startable = self
+                .scheduler
+                .as_ref()
+                .is_none_or(|scheduler| scheduler.is_startable(&held.report.machine));
+            if startable || now >= held.until {
+                self.answer_checkin(held.connection, &held.report);
+            } else {
+                waiting.push(held);
+            }
+        }
+        self.held_checkins = waiting;
+    }
+}
--- /dev/null
+++ b/src/node/dependencies.rs
@@ -0,0 +1,154 @@
+//! Jobs with dependencies: which ones a submission may name, and how jobs ended that live
+//! ones depend on and nobody remembers.
+
+use std::collections::BTreeSet;
+
+use super::calls::{HttpCall, PendingCall, READ_TIMEOUT_MS};
+use super::user_types::{RequestStage, UserRequest};
+use super::Node;
+use crate::dependencies::{DependencyEvent, DependencyState};
+use crate::net::Outcome;
+use crate::replica::{final_key, job_key};
+use crate::wire;
+
+/// How many jobs are looked up at a time.
+const LOOKUPS_MAX: usize = 8;
+/// Pause after one that told nothing.
+const LOOKUP_RETRY_MS: u64 = 300;
+/// Share of the request limit that these reads leave to others.
+const LOOKUP_RESERVE: f64 = 0.1;
+
+/// The look-ups in progress.
+#[derive(Debug, Default)]
+pub(super) struct DependencyLookups {
+    in_flight: BTreeSet<String>,
+    next_at: u64,
+}
+
+impl Node {
+    /// Tells the scheduler what changes of the replica mean for jobs with dependencies.
+    pub(super) fn pass_dependency_events(&mut self) {
+        let now = self.now;
+        for event in self.replica.take_dependency_events() {
+            let Some(scheduler) = &mut self.scheduler else {
+                continue;
+            };
+            match event {
+                DependencyEvent::Ready(id) => scheduler.dependencies_done(&id, now.wall),
+                DependencyEvent::Cancelled(id) => scheduler.mark_cancelled(&id, now.steady),
+            }
+        }
+    }
+
+    /// Accepts a new job if all that it names is known to have been accepted; else looks
+    /// for the first of the others. Another controller may have accepted it a moment ago,
+    /// so its record is read, and then, if it is not alive, how it ended.
+    pub(super) fn create_or_find_dependencies(&mut self, user: u64) {
+        let Some(pending) = self.users.get(&user) else {
+            return;
+        };
+        let UserRequest::Submit(spec) = &pending.request else {
+            return;
+        };
+        let is_unknown = |id: &&String| {
+            self.replica.dependency_state(id) == DependencyState::Unknown
+                && !pending.found_dependencies.contains(id)
+        };
+        let has_dependencies = !spec.dependencies.is_empty();
+        let unknown = spec.dependencies.iter().find(is_unknown).cloned();
+        if let Some(dependency) = unknown {
+            self.set_stage(user, RequestStage::Read);
+            return self.read_dependency(user, dependency, false);
+        }
+        if has_dependencies {
+            self.raise_format("a submission names dependencies");
+        }
+        self.create_job(user);
+    }
+
+    fn read_dependency(&mut self, user: u64, dependency: String, is_final: bool) {
+        let key = if is_final {
+            final_key(&dependency)
+        } else {
+            job_key(&dependency)
+        };
+        let pending = PendingCall::ReadDependency {
+            user,
+            dependency,
+            is_final,
+        };
+        let call = HttpCall::get(format!("/kv/{key}"), READ_TIMEOUT_MS);
+        self.call_state_service(pending, call);
+    }
+
+    pub(super) fn on_dependency_read(
+        &mut self,
+        user: u64,
+        dependency: String,
+        is_final: bool,
+        outcome: &Outcome,
+    ) {
+        match outcome {
+            Outcome::Answer { status: 200, body } => {
+                if is_final {
+                    self.record_final_reply(&dependency, body);
+                }
+                if let Some(pending) = self.users.get_mut(&user) {
+                    pending.found_dependencies.push(dependency);
+                }
+                self.create_or_find_dependencies(user);
+            }
+            Outcome::Answer { status: 404, .. } if !is_final => {
+                self.read_dependency(user, dependency, true);
+            }
+            Outcome::Answer { status: 404, .. } => {
+                let after = self.event_count;
+                if let Some(pending) = self.users.get_mut(&user) {
+                    pending.names_unknown_job = true;
+                    pending.stage = RequestStage::Replica { after, revision: 0 };
+                }
+            }
+            _ => self.forward_user(user),
+        }
+    }
+
+    /// Looks up how jobs ended that live ones depend on.
+    pub(super) fn lookup_tick(&mut self) {
+        let now = self.now.steady;
+        if !self.replica.loaded || now < self.lookups.next_at {
+            return;
+        }
+        let in_flight = &self.lookups.in_flight;
+        let unresolved = self.replica.dependencies.unresolved().iter();
+        let due: Vec<String> = unresolved
+            .filter(|id| !in_flight.contains(*id))
+            .take(LOOKUPS_MAX.saturating_sub(in_flight.len()))
+            .cloned()
+            .collect();
+        for dependency in due {
+            if !self.state_requests.try_take(now, 1.0, LOOKUP_RESERVE) {
+                return;
+            }
+            self.lookups.in_flight.insert(dependency.clone());
+            let path = format!("/kv/{}", final_key(&dependency));
+            let pending = PendingCall::LookUpDependency { dependency };
+            self.call_state_service(pending, HttpCall::get(path, READ_TIMEOUT_MS));
+        }
+    }
+
+    pub(super) fn on_dependency_looked_up(&mut self, dependency: &str, outcome: &Outcome) {
+        self.lookups.in_flight.remove(dependency);
+        match outcome {
+            Outcome::Answer { status: 200, body } => self.record_final_reply(dependency, body),
+            // Alive, and not in the replica yet; or the service is in trouble.
+            _ => self.lookups.next_at = self.now.steady + LOOKUP_RETRY_MS,
+        }
+    }
+
+    fn record_final_reply(&mut self, id: &str, body: &[u8]) {
+        if let Some(state) = wire::final_state_reply(body) {
+            self.replica.record_final(id, state);
+            self.pass_dependency_events();
+        }
+    }
+}
--- /dev/null
+++ b/src/node/effects.rs
@@ -0,0 +1,113 @@
+//! Carrying out what the scheduler wants done.
+
+use tracing::{info, trace};
+
+use super::calls::{HttpCall, PendingCall};
+use super::{Node, WriteOwner};
+use crate::cloud::MachineKind;
+use crate::scheduler::Effect;
+use crate::wire;
+use crate::write_queue::{WriteClass, WriteRequest};
+
+/// Longest times for calls to workers and to the cloud.
+const WORKER_TIMEOUT_MS: u64 = 2000;
+const CLOUD_TIMEOUT_MS: u64 = 4000;
+
+impl Node {
+    pub(super) fn carry_out(&mut self, effect: Effect) {
+        let epoch = self.epoch();
+        match effect {
+            Effect::Write {
+                job,
+                change,
+                final_state,
+                conditions,
+                writes,
+            } => self.writes.push(WriteRequest {
+                owner: WriteOwner::Job {
+                    id: job,
+                    change,
+                    final_state,
+                    epoch,
+                },
+                conditions,
+                writes,
+                class: WriteClass::Leader,
+            }),
+            Effect::Commands {
+                machine,
+                address,
+                session,
+                commands,
+                starts,
+            } => {
+                trace!("{machine} gets commands {commands:?}");
+                let body = wire::encode(&wire::CommandBatch {
+                    epoch,
+                    session: Some(session),
+                    commands,
+                });
+                let pending = PendingCall::Worker {
+                    machine,
+                    epoch,
+                    starts,
+                };
+                let call = HttpCall::post(wire::COMMANDS_PATH, body, WORKER_TIMEOUT_MS);
+                self.call(pending, address, call);
+            }
+            Effect::Inspect { machine, address } => {
+                let pending = PendingCall::Worker {
+                    machine,
+                    epoch,
+                    starts: vec![],
+                };
+                let call = HttpCall::get(wire::INSPECT_PATH, WORKER_TIMEOUT_MS);
+                self.call(pending, address, call);
+            }
+            Effect::Rent {
+                booking,
+                kind,
+                count,
+            } => self.rent(booking, &kind, count, epoch),
+            Effect::Delete { machines } => self.delete(machines, epoch),
+        }
+    }
+
+    /// Without certain leadership nothing is rented or deleted: a cut may hold the request
+    /// and deliver it to a successor's machines.
+    fn may_call_cloud(&mut self) -> bool {
+        let now = self.now.steady;
+        self.lease.is_certain(now) && self.cloud_requests.try_take(now, 1.0, 0.0)
+    }
+
+    fn rent(&mut self, booking: String, kind: &MachineKind, count: u64, epoch: u64) {
+        if !self.may_call_cloud() {
+            let now = self.now.steady;
+            if let Some(scheduler) = &mut self.scheduler {
+                scheduler.on_rental_postponed(&booking, now);
+            }
+            return;
+        }
+        info!("renting {count} of {kind:?} as {booking}");
+        let body = wire::encode(&wire::RentRequest {
+            booking: &booking,
+            machine_type: &kind.machine_type,
+            zone: &kind.zone,
+            spot: kind.spot,
+            count,
+        });
+        let call = HttpCall::post("/machines", body, CLOUD_TIMEOUT_MS);
+        self.call_cloud(PendingCall::Rent { booking, epoch }, call);
+    }
+
+    fn delete(&mut self, machines: Vec<String>, epoch: u64) {
+        if !self.may_call_cloud() {
+            return; // the scheduler asks for it again
+        }
+        let body = wire::encode(&wire::MachineNames {
+            names: machines.clone(),
+        });
+        let call = HttpCall::post("/machines/delete", body, CLOUD_TIMEOUT_MS);
+        self.call_cloud(PendingCall::Delete { machines, epoch }, call);
+    }
+}
--- /dev/null
+++ b/src/node/format_version.rs
@@ -0,0 +1,156 @@
+//! Living beside the version in production, and under limits of the state service that
+//! fall without notice.
+//!
+//! What that version can't read is written only once it runs nowhere any more. Each
+//! controller makes itself known by a key; once all of the settings' are known there and
+//! each has just said that it runs this version, the leader raises the format, which never
+//! goes down. One that is down or cut off counts as old, and so does one that was put back
+//! to the version before. Before that, a submission that names dependencies or a refusal
+//! for a lower limit is proof as well: neither comes before all run this version.
+
+use tracing::{debug, error, info};
+
+use super::{Node, WriteOwner};
+use crate::job::PACKED_FORMAT;
+use crate::net::Outcome;
+use crate::replica::{member_key, FORMAT_KEY};
+use crate::settings::StateLimits;
+use crate::wire::{self, Condition, Write};
+use crate::write_queue::{WriteClass, WriteRequest};
+
+/// How often a write that makes a version known is tried, in report intervals.
+const RETRY_REPORTS: f64 = 0.5;
+/// For how many report intervals a refusal for the number of changes counts, while
+/// nothing proves that the lower limit holds.
+const SCARCE_REPORTS: f64 = 4.0;
+
+/// What is known of the format beyond the replica.
+#[derive(Debug, Default)]
+pub(super) struct FormatState {
+    /// There was proof that no earlier version runs any more.
+    is_proven: bool,
+    next_write_at: u64,
+    /// Refused for the number of changes: until then the lower limit may hold.
+    scarce_until: u64,
+}
+
+impl Node {
+    /// The format that may be written.
+    pub(super) fn format(&self) -> u64 {
+        let proven = u64::from(self.format_state.is_proven) * PACKED_FORMAT;
+        self.replica.format.max(proven)
+    }
+
+    /// The state service holds what only a later version than this one can read: this one
+    /// neither leads nor answers users, who would be told that jobs are unknown.
+    pub(super) fn is_outdated(&self) -> bool {
+        self.replica.format > PACKED_FORMAT
+    }
+
+    /// What may be asked of the state service.
+    pub(super) fn state_limits(&self) -> StateLimits {
+        let state = &self.settings.cluster.state;
+        if self.format() >= PACKED_FORMAT {
+            return state.lowered();
+        }
+        let mut limits = state.clone();
+        if self.now.steady < self.format_state.scarce_until {
+            limits.write_rps = limits.lowered().write_rps;
+        }
+        limits
+    }
+
+    /// No earlier version runs any more.
+    pub(super) fn raise_format(&mut self, why: &str) {
+        if self.format() < PACKED_FORMAT {
+            info!("format {PACKED_FORMAT}: {why}");
+            self.format_state.is_proven = true;
+            self.format_state.next_write_at = 0;
+            self.on_format_changed();
+        }
+    }
+
+    pub(super) fn on_format_changed(&mut self) {
+        if self.is_outdated() {
+            error!(
+                "the state service holds format {}, this version knows {PACKED_FORMAT}: it must be replaced",
+                self.replica.format
+            );
+            return self.resign("a later version has taken over", 0);
+        }
+        let format = self.format();
+        let limits = self.state_limits();
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.set_format(format, &limits);
+        }
+        self.set_state_share(self.scheduler.is_some());
+    }
+
+    /// Makes this version known, or raises the format.
+    pub(super) fn format_tick(&mut self) {
+        let now = self.now.steady;
+        let state = &mut self.format_state;
+        if state.scarce_until > 0 && now >= state.scarce_until {
+            state.scarce_until = 0;
+            self.on_format_changed();
+        }
+        let is_raised = self.replica.format >= PACKED_FORMAT;
+        if !self.replica.loaded || is_raised || now < self.format_state.next_write_at {
+            return;
+        }
+        let pause_s = self.settings.cluster.workers.report_s * RETRY_REPORTS;
+        self.format_state.next_write_at = now + (pause_s * 1000.0) as u64;
+        let is_known = self.replica.members.contains(&self.settings.member);
+        let all_known = is_known && self.do_all_run_this_version();
+        let (conditions, key) =
+            if self.format_state.is_proven || (all_known && self.scheduler.is_some()) {
+                let unchanged = Condition::new(FORMAT_KEY, self.replica.format_version);
+                (vec![unchanged], FORMAT_KEY.to_string())
+            } else if !is_known {
+                (vec![], member_key(&self.settings.member))
+            } else {
+                return;
+            };
+        self.writes.push(WriteRequest {
+            owner: WriteOwner::FormatVersion,
+            conditions,
+            writes: vec![Write::set(key, PACKED_FORMAT.into())],
+            class: WriteClass::User,
+        });
+    }
+
+    /// Whether each other controller has made itself known, and has just said that it runs
+    /// this version. Its key alone may be older than a return to the version before.
+    fn do_all_run_this_version(&self) -> bool {
+        self.settings.peers.iter().all(|peer| {
+            let status = self.recent_status(&peer.member);
+            let runs_it = status.is_some_and(|status| status.known_format >= PACKED_FORMAT);
+            runs_it && self.replica.members.contains(&peer.member)
+        })
+    }
+
+    /// The state service may have refused a transaction for a lower limit.
+    pub(super) fn note_refused_write(&mut self, outcome: &Outcome) {
+        let Outcome::Answer { status, body } = outcome else {
+            return;
+        };
+        if self.settings.cluster.state.next.is_none() {
+            return;
+        }
+        match status {
+            // No transaction with a grant goes through the queue, and ours are well
+            // formed: it is too large by now.
+            400 => {
+                debug!("refused: {}", wire::readable(body));
+                self.raise_format("the state service holds to its lower limits");
+            }
+            429 if self.format() < PACKED_FORMAT => {
+                let spell_s = self.settings.cluster.workers.report_s * SCARCE_REPORTS;
+                let spell_ms = (spell_s * 1000.0) as u64;
+                self.format_state.scarce_until = self.now.steady + spell_ms;
+                self.on_format_changed();
+            }
+            _ => {}
+        }
+    }
+}
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -1,154 +1,197 @@
-//! What the leadership asks of the state service, and what follows.
+//! Election and renewal of the leader lease, and what follows from their outcomes.
 
-use super::*;
+use tracing::{info, warn};
+
+use super::calls::{HttpCall, PendingCall};
+use super::{Node, WriteOwner};
+use crate::leader_lease::{LeaseRequest, LeaseResponse};
+use crate::net::Outcome;
+use crate::replica::{LeaderKey, EPOCH_KEY, LEADER_KEY, LEASE_KEY};
+use crate::scheduler::{Scheduler, Term};
+use crate::wire::{self, Condition, Transaction, Write};
+use rand::Rng;
+
+/// The machine types are read again so soon after an election.
+const MACHINE_TYPES_AFTER_MS: u64 = 1000;
 
 impl Node {
-    pub(super) fn lead_tick(&mut self) {
-        if self.outdated() {
+    pub(super) fn lease_tick(&mut self) {
+        if self.is_outdated() {
             return;
         }
         let jitter = self.rng.random::<f64>();
-        if let Some(ask) = self.lead.tick(self.now.steady, &self.picture, jitter) {
-            self.lead_ask(ask);
+        let request = self.lease.tick(self.now.steady, &self.replica, jitter);
+        if let Some(request) = request {
+            self.send_lease_request(request);
         }
     }
 
-    pub(super) fn lead_ask(&mut self, ask: lead::Ask) {
-        let _ = self.requests.take(self.now.steady, 1.0, 0.0);
-        let timeout = self.lead.life_ms / 3;
-        match &ask {
-            lead::Ask::Grant => {
-                let body = wire::encode(&wire::GrantAsk {
-                    life_ms: self.lead.life_ms,
+    fn send_lease_request(&mut self, request: LeaseRequest) {
+        // It goes out in any case.
+        let _ = self.state_requests.try_take(self.now.steady, 1.0, 0.0);
+        let timeout_ms = self.lease.life_ms / 3;
+        let call = match &request {
+            LeaseRequest::Grant => {
+                let body = wire::encode(&wire::GrantRequest {
+                    life_ms: self.lease.life_ms,
                 });
-                self.state(Call::Lead(ask), "POST", "/grants".into(), body, timeout);
+                HttpCall::post("/grants", body, timeout_ms)
             }
-            lead::Ask::Renew(g) => {
-                let path = format!("/grants/{g}/renew");
-                self.state(Call::Lead(ask), "POST", path, vec![], timeout);
+            LeaseRequest::Renew(grant) => {
+                HttpCall::post(format!("/grants/{grant}/renew"), vec![], timeout_ms)
             }
-            lead::Ask::Revoke(g) => {
-                let path = format!("/grants/{g}");
-                self.state(Call::Revoke, "DELETE", path, vec![], timeout);
-            }
-            lead::Ask::Elect {
-                grant,
-                epoch,
-                leader_stamp,
-                lease_stamp,
-                epoch_stamp,
-                fenced,
-            } => {
-                let key = LeaderKey {
-                    member: self.set.member.clone(),
-                    epoch: *epoch,
+            LeaseRequest::Revoke(grant) => {
+                let call = HttpCall {
+                    method: "DELETE",
+                    path: format!("/grants/{grant}"),
+                    body: vec![],
+                    timeout_ms,
                 };
-                let mut writes = Vec::new();
-                if *fenced {
-                    writes.push(Write::leader(LEADER, &LeaderKey::superseded(), None));
-                    writes.push(Write::leader(LEASE, &key, Some(*grant)));
-                } else {
-                    writes.push(Write::leader(LEADER, &key, Some(*grant)));
-                }
-                writes.push(Write::set(EPOCH.into(), (*epoch).into()));
-                let conds = [
-                    (LEADER, *leader_stamp),
-                    (LEASE, *lease_stamp),
-                    (EPOCH, *epoch_stamp),
-                ];
-                let txn = wire::Txn {
-                    conds: conds.map(|(key, stamp)| Cond::new(key, stamp)).into(),
-                    writes,
-                };
-                let body = wire::encode(&txn);
-                self.state(Call::Lead(ask), "POST", "/txn".into(), body, timeout);
+                return self.call_state_service(PendingCall::Revoke, call);
             }
-        }
+            LeaseRequest::Elect { .. } => {
+                let transaction = election(&request, &self.settings.member);
+                HttpCall::post("/txn", wire::encode(&transaction), timeout_ms)
+            }
+        };
+        self.call_state_service(PendingCall::Lease(request), call);
     }
 
-    pub(super) fn lead_told(&mut self, ask: lead::Ask, outcome: &Outcome) {
+    pub(super) fn on_lease_outcome(&mut self, request: LeaseRequest, outcome: &Outcome) {
         let now = self.now.steady;
-        let told = match (&ask, outcome) {
-            (lead::Ask::Grant, Outcome::Answer { status: 200, body }) => {
-                wire::decode::<wire::Grant>(body).map_or(Told::Nothing, |g| Told::Granted(g.permit))
-            }
-            (lead::Ask::Renew(_), Outcome::Answer { status: 200, .. }) => Told::Renewed,
-            (lead::Ask::Renew(_), Outcome::Answer { status: 404, .. }) => Told::Lost,
-            (lead::Ask::Elect { epoch, .. }, Outcome::Answer { status: 200, body }) => {
-                match wire::decode::<wire::TxnReply>(body) {
-                    Some(r) => Told::Elected {
-                        epoch: *epoch,
-                        stamp: r.rev,
-                    },
-                    None => Told::Nothing,
-                }
-            }
-            (lead::Ask::Elect { .. }, Outcome::Answer { .. }) => Told::Lost,
-            _ => Told::Nothing,
-        };
-        let changed = self.lead.told(now, told);
-        if let Told::Elected { epoch, stamp } = told {
+        let response = response_to(&request, outcome);
+        let changed = self.lease.on_response(now, response);
+        if let LeaseResponse::Elected { epoch, version } = response {
             if changed {
-                let fenced = matches!(ask, lead::Ask::Elect { fenced: true, .. });
-                let key = LeaderKey {
-                    member: self.set.member.clone(),
-                    epoch,
-                };
-                self.picture.elected(key, stamp, fenced);
-                self.seat = Some(Seat {
-                    member: self.set.member.clone(),
-                    epoch,
-                    key: if fenced { LEASE } else { LEADER },
-                    stamp,
-                    wall: self.now.wall,
-                });
-                self.take_seat();
+                let fenced = matches!(request, LeaseRequest::Elect { fenced: true, .. });
+                self.on_elected(epoch, version, fenced);
             }
         } else if changed {
             self.step_down("the grant has run out");
         }
-        self.lead_tick();
+        self.lease_tick();
     }
 
-    /// A leader's mind is made from a picture that holds its own election. All
-    /// changes of leaders before it, its own earlier terms included, are older
-    /// than that, and none can follow: a picture from before it may lack places
-    /// whose starts went out.
-    pub(super) fn take_seat(&mut self) {
-        let (now, rev) = (self.now.steady, self.picture.rev);
-        let Some(seat) = self.seat.take_if(|s| s.stamp <= rev) else {
+    fn on_elected(&mut self, epoch: u64, version: u64, fenced: bool) {
+        let member = self.settings.member.clone();
+        let key = LeaderKey {
+            member: member.clone(),
+            epoch,
+        };
+        self.replica.elected(key, version, fenced);
+        self.pending_term = Some(Term {
+            member,
+            epoch,
+            key: if fenced { LEASE_KEY } else { LEADER_KEY },
+            key_version: version,
+            began_wall_ms: self.now.wall,
+        });
+        self.begin_term();
+    }
+
+    /// Begins a term once the replica holds its election. All changes of leaders before
+    /// it, its own earlier terms included, are older than that, and none can follow: a
+    /// replica from before it may lack places whose starts went out.
+    pub(super) fn begin_term(&mut self) {
+        let now = self.now.steady;
+        let revision = self.replica.revision;
+        let Some(term) = self
+            .pending_term
+            .take_if(|term| term.key_version <= revision)
+        else {
             return;
         };
-        info!("leading with epoch {}", seat.epoch);
-        self.control = Some(Control::new(
-            seat,
-            &self.set.cluster,
-            &self.op,
-            self.flavors.clone(),
-            &self.picture,
+        info!("leading with epoch {}", term.epoch);
+        self.scheduler = Some(Scheduler::new(
+            term,
+            &self.settings.cluster,
+            &self.operator,
+            self.machine_types.clone(),
+            &self.replica,
             now,
         ));
-        self.format_changed();
-        self.list_next = now;
-        self.listing = None;
-        self.planning = false;
-        self.flavors_next = self.flavors_next.min(now + 1000);
+        self.on_format_changed();
+        self.machine_list.restart(now);
+        self.plan_timer.in_progress = false;
+        let soon = now + MACHINE_TYPES_AFTER_MS;
+        self.next_machine_types_at = self.next_machine_types_at.min(soon);
     }
 
     pub(super) fn step_down(&mut self, why: &str) {
-        self.seat = None;
-        if self.control.take().is_some() {
+        self.pending_term = None;
+        if self.scheduler.take().is_some() {
             warn!("not leading any more: {why}");
         }
-        self.queue.withdraw(|w| matches!(w, Who::Job { .. }));
-        self.take_share(false);
-        self.planning = false;
+        self.writes
+            .remove_waiting(|owner| matches!(owner, WriteOwner::Job { .. }));
+        self.set_state_share(false);
+        self.plan_timer.in_progress = false;
     }
 
-    pub(super) fn resign(&mut self, why: &str, rest_ms: u64) {
-        if let Some(ask) = self.lead.resign(self.now.steady, rest_ms) {
-            self.lead_ask(ask);
+    /// Gives leadership up, and does not stand for election for so long.
+    pub(super) fn resign(&mut self, why: &str, standby_ms: u64) {
+        if let Some(request) = self.lease.resign(self.now.steady, standby_ms) {
+            self.send_lease_request(request);
         }
         self.step_down(why);
     }
 }
+
+/// The transaction that takes the key and raises the epoch.
+fn election(request: &LeaseRequest, member: &str) -> Transaction {
+    let mut transaction = Transaction {
+        conditions: vec![],
+        writes: vec![],
+    };
+    let LeaseRequest::Elect {
+        grant,
+        epoch,
+        leader_version,
+        lease_version,
+        epoch_version,
+        fenced,
+    } = request
+    else {
+        return transaction;
+    };
+    let key = LeaderKey {
+        member: member.to_string(),
+        epoch: *epoch,
+    };
+    let writes = &mut transaction.writes;
+    if *fenced {
+        writes.push(Write::leader(LEADER_KEY, &LeaderKey::superseded(), None));
+        writes.push(Write::leader(LEASE_KEY, &key, Some(*grant)));
+    } else {
+        writes.push(Write::leader(LEADER_KEY, &key, Some(*grant)));
+    }
+    writes.push(Write::set(EPOCH_KEY.into(), (*epoch).into()));
+    transaction.conditions = vec![
+        Condition::new(LEADER_KEY, *leader_version),
+        Condition::new(LEASE_KEY, *lease_version),
+        Condition::new(EPOCH_KEY, *epoch_version),
+    ];
+    transaction
+}
+
+fn response_to(request: &LeaseRequest, outcome: &Outcome) -> LeaseResponse {
+    match (request, outcome) {
+        (LeaseRequest::Grant, Outcome::Answer { status: 200, body }) => {
+            let granted = wire::decode::<wire::Grant>(body);
+            granted.map_or(LeaseResponse::Unknown, |g| LeaseResponse::Granted(g.grant))
+        }
+        (LeaseRequest::Renew(_), Outcome::Answer { status: 200, .. }) => LeaseResponse::Renewed,
+        (LeaseRequest::Renew(_), Outcome::Answer { status: 404, .. }) => LeaseResponse::Lost,
+        (LeaseRequest::Elect { epoch, .. }, Outcome::Answer { status: 200, body }) => {
+            match wire::decode::<wire::TransactionReply>(body) {
+                Some(reply) => LeaseResponse::Elected {
+                    epoch: *epoch,
+                    version: reply.revision,
+                },
+                None => LeaseResponse::Unknown,
+            }
+        }
+        (LeaseRequest::Elect { .. }, Outcome::Answer { .. }) => LeaseResponse::Lost,
+        _ => LeaseResponse::Unknown,
+    }
+}
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,66 +1,125 @@
 //! What the other controllers tell, and what follows from it.
 
-use super::*;
-use crate::job::PACKED;
+use std::collections::BTreeMap;
 
-/// A process' age by its own clock may be too high by one part in so many.
-const AGE_ERROR: u64 = 500;
-/// A status heard so lately need not be asked for: of two controllers one asks.
+use prost::Message;
+
+use super::calls::{HttpCall, PendingCall};
+use super::Node;
+use crate::job::PACKED_FORMAT;
+use crate::mesh::{PeerStatus, STATUS_PATH};
+
+/// How often statuses are exchanged.
+const STATUS_INTERVAL_MS: u64 = 1000;
+const STATUS_TIMEOUT_MS: u64 = 1500;
+/// A status that came so lately need not be asked for: of two controllers one asks.
 const STATUS_FRESH_MS: u64 = 700;
+/// For how long a controller counts as alive, and for how long what it has said of itself
+/// counts: over two of its statuses.
+const ALIVE_MS: u64 = 3000;
+const HEARD_MS: u64 = 2500;
+/// A process' age by its own clock may be too high by one part in so many.
+const AGE_ERROR_PARTS: u64 = 500;
+/// For how long redirected workers are remembered.
+const REDIRECTED_MEMORY_MS: u64 = 60_000;
+/// Report intervals for which they are told of.
+const REDIRECTED_REPORTS: f64 = 2.0;
+/// Report intervals within which every worker that can has reported.
+const ROUND_REPORTS: f64 = 1.5;
+/// By this multiple of `cancel_s` nothing is left of a cancelled job.
+const CANCELLED_MEMORY: f64 = 2.0;
+/// For how long a leader that no worker reaches lets others lead, as a share of a lease.
+const STANDBY_LEASE_SHARE: f64 = 0.5;
+
+/// What is known of another controller.
+#[derive(Debug, Default)]
+pub(super) struct PeerView {
+    /// When its last status came.
+    pub heard_at: Option<u64>,
+    /// Its last status.
+    pub status: PeerStatus,
+    cancellation_sync: Option<CancellationSync>,
+}
+
+/// A controller has told us of every cancellation that it had told users of when
+/// it was asked, as far as its process goes back.
+#[derive(Debug, Clone, Copy)]
+struct CancellationSync {
+    asked_at: u64,
+    /// Its process had begun by then.
+    process_began_at: u64,
+}
+
+/// Workers that came to other controllers.
+pub(super) struct RedirectedElsewhere {
+    /// How many of the others are heard.
+    pub peers_heard: usize,
+    /// How many workers these redirected lately.
+    pub workers: u32,
+}
 
 impl Node {
-    pub(super) fn status(&self) -> Status {
+    fn status(&self) -> PeerStatus {
         let now = self.now.steady;
-        let span = (self.set.cluster.workers.report_s * 2000.0) as u64;
-        let lately = |m: &BTreeMap<String, u64>| m.values().filter(|t| now < **t + span).count();
-        Status {
-            member: self.set.member.clone(),
-            served: self.served(),
-            leads: self.control.as_ref().map_or(0, |c| c.epoch),
-            turned_away: lately(&self.turned_away) as u32,
-            age_ms: self.began.map_or(0, |t| now - t),
-            withdrawn: vec![],
-            knows_format: PACKED,
+        let span_s = self.settings.cluster.workers.report_s * REDIRECTED_REPORTS;
+        let span_ms = (span_s * 1000.0) as u64;
+        let lately = |times: &BTreeMap<String, u64>| {
+            times.values().filter(|at| now < **at + span_ms).count()
+        };
+        PeerStatus {
+            member: self.settings.member.clone(),
+            state_reachable: self.is_state_reachable(),
+            leading_epoch: self.epoch(),
+            redirected_workers: lately(&self.redirected_workers) as u32,
+            process_age_ms: self.began_at.map_or(0, |at| now - at),
+            told_cancelled: vec![],
+            known_format: PACKED_FORMAT,
         }
     }
 
-    /// A leader that can't read the state service is told what users were told.
-    pub(super) fn status_for(&self, asker: &Status) -> Status {
-        let mut s = self.status();
-        if asker.leads > 0 && !asker.served {
-            s.withdrawn = self.withdrawn.keys().cloned().collect();
+    /// The answer to another controller's status. A leader that can't read the state
+    /// service is told which jobs users were told to be cancelled.
+    pub(super) fn status_for(&self, asker: &PeerStatus) -> PeerStatus {
+        let mut status = self.status();
+        if asker.leading_epoch > 0 && !asker.state_reachable {
+            status.told_cancelled = self.told_cancelled.keys().cloned().collect();
         }
-        s
+        status
     }
 
     /// Users are told here that a job is cancelled. What is over has no tasks
     /// any more.
-    pub(super) fn tells_withdrawn(&mut self, id: &str) {
+    pub(super) fn note_told_cancelled(&mut self, id: &str) {
         let now = self.now.steady;
-        if self.picture.end_of(id).is_none() {
-            self.withdrawn.entry(id.to_string()).or_insert(now);
+        if self.replica.final_state(id).is_none() {
+            self.told_cancelled.entry(id.to_string()).or_insert(now);
         }
-        if let Some(c) = &mut self.control {
-            c.called_off(id, now);
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.mark_cancelled(id, now);
         }
     }
 
     /// A leader that can't read the state service asked another controller, and
     /// was told of all cancellations that users had been told of there.
-    pub(super) fn vouched(&mut self, member: &str, s: &Status, sent: u64) {
+    pub(super) fn sync_cancellations(&mut self, member: &str, status: &PeerStatus, sent_at: u64) {
         let now = self.now.steady;
-        let Some(c) = &mut self.control else { return };
-        for id in &s.withdrawn {
-            c.called_off(id, now);
+        let Some(scheduler) = &mut self.scheduler else {
+            return;
+        };
+        for id in &status.told_cancelled {
+            scheduler.mark_cancelled(id, now);
         }
         // With one that is served, or another that leads, work goes on there.
-        if s.served || s.leads > c.epoch || self.served() {
+        let work_goes_on = status.state_reachable || status.leading_epoch > scheduler.epoch();
+        if work_goes_on || self.is_state_reachable() {
             return;
         }
-        if let Some(p) = self.peers.get_mut(member) {
-            p.vouch = Some(Vouch {
-                asked: sent,
-                began: now.saturating_sub(s.age_ms - s.age_ms / AGE_ERROR),
+        if let Some(peer) = self.peers.get_mut(member) {
+            let age_ms = status.process_age_ms;
+            let age_ms = age_ms - age_ms / AGE_ERROR_PARTS;
+            peer.cancellation_sync = Some(CancellationSync {
+                asked_at: sent_at,
+                process_began_at: now.saturating_sub(age_ms),
             });
         }
     }
@@ -69,95 +128,108 @@
     /// the last read of the state service, or in an outage that all see from every
     /// other controller, if none of them has begun anew since that read. One that
     /// has may have told what nobody knows any more.
-    pub(super) fn known_at(&self) -> Option<u64> {
-        let read = self.fresh?.at;
-        let told = self.peers.values().map(|p| {
-            let v = p.vouch.filter(|v| v.began <= read);
-            v.map_or(0, |v| v.asked)
+    pub(super) fn cancellations_known_at(&self) -> Option<u64> {
+        let read_at = self.replication.complete_as_of?.at;
+        let synced_at = self.peers.values().map(|peer| {
+            let sync = peer.cancellation_sync;
+            let valid = sync.filter(|sync| sync.process_began_at <= read_at);
+            valid.map_or(0, |sync| sync.asked_at)
         });
         // One that is alone has told them all itself.
-        Some(told.min().unwrap_or(self.now.steady).max(read))
+        Some(synced_at.min().unwrap_or(self.now.steady).max(read_at))
     }
 
-    /// Within this time every worker that can has reported.
-    fn round_ms(&self) -> u64 {
-        (self.set.cluster.workers.report_s * 1500.0) as u64
-    }
-
-    pub(super) fn served(&self) -> bool {
+    pub(super) fn on_peer_status(&mut self, member: &str, status: PeerStatus) {
         let now = self.now.steady;
-        self.served_at
-            .is_some_and(|t| now < t + WATCH_MS + STATE_MS)
+        if let Some(peer) = self.peers.get_mut(member) {
+            peer.heard_at = Some(now);
+            peer.status = status;
+        }
+        if self.is_cut_off_from_workers() {
+            let lease_ms = self.settings.cluster.workers.lease_s * 1000.0;
+            let standby_ms = (lease_ms * STANDBY_LEASE_SHARE) as u64;
+            let why = "no worker gets through while others turn them away";
+            self.resign(why, standby_ms);
+        }
     }
 
-    pub(super) fn peer_status(&mut self, member: &str, s: Status) {
+    /// Whether this leader is cut off from every worker while others redirect them:
+    /// another controller should lead.
+    fn is_cut_off_from_workers(&self) -> bool {
         let now = self.now.steady;
-        if let Some(p) = self.peers.get_mut(member) {
-            p.heard = Some(now);
-            p.status = s;
-        }
-        // Cut off from every worker while others turn them away: somebody
-        // else should lead.
-        if let Some(c) = &self.control {
-            let (silent, up) = c.reach(now);
-            // One machine alone may be at fault itself: it is given up first.
-            if up > 0 && silent == up && (up > 1 || c.gave_up()) {
-                let (_, away) = self.turned_away_elsewhere();
-                // Any report, also an old copy, shows that there is a way here.
-                let reached = self.reached.is_some_and(|t| now < t + self.round_ms());
-                if away > 0 && !reached {
-                    let rest = (self.set.cluster.workers.lease_s * 500.0) as u64;
-                    self.resign("no worker gets through while others turn them away", rest);
-                }
-            }
+        let Some(scheduler) = &self.scheduler else {
+            return false;
+        };
+        let reach = scheduler.reachability(now);
+        // One machine alone may be at fault itself: it is returned first.
+        let all_silent = reach.up > 0 && reach.silent == reach.up;
+        if !all_silent || !(reach.up > 1 || scheduler.returned_unreachable()) {
+            return false;
         }
+        // Any report, also an old copy, shows that there is a way here.
+        let round_s = self.settings.cluster.workers.report_s * ROUND_REPORTS;
+        let round_ms = (round_s * 1000.0) as u64;
+        let answered = self.worker_answered_at;
+        let reached = answered.is_some_and(|at| now < at + round_ms);
+        self.redirected_elsewhere().workers > 0 && !reached
     }
 
     pub(super) fn live_peers(&self) -> impl Iterator<Item = &PeerView> {
         let now = self.now.steady;
-        self.peers
-            .values()
-            .filter(move |p| p.heard.is_some_and(|t| now < t + 3000))
+        let alive = move |peer: &&PeerView| peer.heard_at.is_some_and(|at| now < at + ALIVE_MS);
+        self.peers.values().filter(alive)
     }
 
-    /// How many others are heard, and how many workers they turned away lately.
-    pub(super) fn turned_away_elsewhere(&self) -> (usize, u32) {
-        self.live_peers().fold((0, 0), |(n, away), p| {
-            (n + 1, u32::saturating_add(away, p.status.turned_away))
-        })
+    /// How many others are heard, and how many workers they redirected lately.
+    pub(super) fn redirected_elsewhere(&self) -> RedirectedElsewhere {
+        let mut redirected = RedirectedElsewhere {
+            peers_heard: 0,
+            workers: 0,
+        };
+        for peer in self.live_peers() {
+            redirected.peers_heard += 1;
+            let workers = peer.status.redirected_workers;
+            redirected.workers = redirected.workers.saturating_add(workers);
+        }
+        redirected
+    }
+
+    /// What another controller has said of itself lately.
+    pub(super) fn recent_status(&self, member: &str) -> Option<&PeerStatus> {
+        let now = self.now.steady;
+        let peer = self.peers.get(member)?;
+        let heard = peer.heard_at.is_some_and(|at| now < at + HEARD_MS);
+        heard.then_some(&peer.status)
     }
 
-    pub(super) fn mesh_tick(&mut self) {
+    pub(super) fn peers_tick(&mut self) {
         let now = self.now.steady;
-        if now < self.status_next {
+        if now < self.next_status_at {
             return;
         }
-        self.status_next = now + 1000;
-        let old = 60_000;
-        self.turned_away.retain(|_, t| now < *t + old);
-        // By then nothing is left of a cancelled job.
-        let over = (self.set.cluster.workers.cancel_s * 2000.0) as u64;
-        self.withdrawn.retain(|_, t| now < *t + over);
+        self.next_status_at = now + STATUS_INTERVAL_MS;
+        self.redirected_workers
+            .retain(|_, at| now < *at + REDIRECTED_MEMORY_MS);
+        let cancel_ms = self.settings.cluster.workers.cancel_s * 1000.0;
+        let memory_ms = (cancel_ms * CANCELLED_MEMORY) as u64;
+        self.told_cancelled.retain(|_, at| now < *at + memory_ms);
         let status = self.status();
-        let asks = status.leads > 0 && !status.served;
+        // Its question is about cancellations, so it has to ask itself.
+        let must_ask = status.leading_epoch > 0 && !status.state_reachable;
         let body = status.encode_to_vec();
-        for p in self.set.known.clone() {
+        for peer in self.settings.peers.clone() {
             // One that has just asked has told the same and was answered.
-            let lately = self.peers.get(&p.member).and_then(|v| v.heard);
-            if !asks && lately.is_some_and(|t| now < t + STATUS_FRESH_MS) {
+            let heard_at = self.peers.get(&peer.member).and_then(|p| p.heard_at);
+            let fresh = heard_at.is_some_and(|at| now < at + STATUS_FRESH_MS);
+            if fresh && !must_ask {
                 continue;
             }
-            self.call(
-                Call::Status {
-                    member: p.member.clone(),
-                    sent: now,
-                },
-                p.address,
-                "POST",
-                STATUS_PATH.into(),
-                body.clone(),
-                1500,
-            );
+            let pending = PendingCall::PeerStatus {
+                member: peer.member,
+                sent_at: now,
+            };
+            let call = HttpCall::post(STATUS_PATH, body.clone(), STATUS_TIMEOUT_MS);
+            self.call(pending, peer.address, call);
         }
     }
 }
--- /dev/null
+++ b/src/node/replication.rs
@@ -0,0 +1,288 @@
+//! Reading the state service into the replica: first in whole, then by a watch, and at
+//! once when somebody waits for it.
+
+use tracing::{info, warn};
+
+use super::calls::{HttpCall, PendingCall, READ_TIMEOUT_MS, STATE_TIMEOUT_MS};
+use super::user_types::RequestStage;
+use super::{EventTime, Node};
+use crate::net::Outcome;
+use crate::replica::{ReplicaChange, JOBS_PREFIX, LEADERSHIP_PREFIX, ROOT_PREFIX};
+use crate::wire;
+
+/// How long a watch waits for changes.
+pub(super) const WATCH_HOLD_MS: u64 = 1000;
+/// Between two reads of a sort on a whole core, at the least; on a part of one
+/// accordingly longer.
+const READ_CORE_MS: f64 = 6.0;
+/// Shares of a controller's requests to the state service that may go to the
+/// watch and to reads for users.
+const WATCH_SHARE: f64 = 0.25;
+const USER_READ_SHARE: f64 = 0.35;
+/// Shares of the request limit that the watch and reads for users leave to others.
+const WATCH_RESERVE: f64 = 0.2;
+const USER_READ_RESERVE: f64 = 0.1;
+/// Keys in a page.
+const LEADERSHIP_PAGE: usize = 100;
+const JOBS_PAGE: usize = 500;
+/// Pauses before everything is read again, and after a failed page or read.
+const LOAD_RETRY_MS: u64 = 500;
+const PAGE_RETRY_MS: u64 = 300;
+const READ_RETRY_MS: u64 = 200;
+
+/// The reads in progress, and when the next ones are due.
+#[derive(Debug, Default)]
+pub(super) struct Replication {
+    /// Everything is being read.
+    loading: bool,
+    next_load_at: u64,
+    pub watching: bool,
+    next_watch_at: u64,
+    /// Changes are being read for somebody who waits.
+    pub reading: bool,
+    next_read_at: u64,
+    /// The replica is complete as of this moment.
+    pub complete_as_of: Option<EventTime>,
+    /// The state service last answered with something other than a refusal.
+    pub answered_at: Option<u64>,
+}
+
+impl Node {
+    /// Whether the state service has answered lately.
+    pub(super) fn is_state_reachable(&self) -> bool {
+        let now = self.now.steady;
+        let answered_at = self.replication.answered_at;
+        answered_at.is_some_and(|at| now < at + WATCH_HOLD_MS + STATE_TIMEOUT_MS)
+    }
+
+    /// Leadership is certain and the replica recent enough to start tasks.
+    pub(super) fn may_start(&self) -> bool {
+        let now = self.now.steady;
+        let complete = self.replication.complete_as_of;
+        let recent = complete.is_some_and(|c| now < c.at + WATCH_HOLD_MS + STATE_TIMEOUT_MS);
+        recent && self.lease.is_certain(now)
+    }
+
+    pub(super) fn load_tick(&mut self) {
+        let now = self.now.steady;
+        let replication = &mut self.replication;
+        if self.replica.loaded || replication.loading || now < replication.next_load_at {
+            return;
+        }
+        replication.next_load_at = now + LOAD_RETRY_MS;
+        replication.loading = true;
+        self.replica.restart();
+        let path = format!("/kv?under={LEADERSHIP_PREFIX}&most={LEADERSHIP_PAGE}");
+        let call = HttpCall::get(path, STATE_TIMEOUT_MS);
+        self.call_state_service(PendingCall::LoadLeadership, call);
+    }
+
+    fn load_jobs(&mut self, from: Option<&str>) {
+        let from = from.map(|key| format!("&from={key}")).unwrap_or_default();
+        let path = format!("/kv?under={JOBS_PREFIX}{from}&most={JOBS_PAGE}");
+        let call = HttpCall::get(path, 2 * STATE_TIMEOUT_MS);
+        self.call_state_service(PendingCall::LoadJobs, call);
+    }
+
+    pub(super) fn on_leadership_page(&mut self, outcome: &Outcome) {
+        let Some(page) = self.decode_page(outcome) else {
+            return;
+        };
+        self.replica.apply_page(&page);
+        // Changes since then are told by the watch, those in later pages
+        // a second time.
+        self.replica.revision = page.revision;
+        self.load_jobs(None);
+    }
+
+    pub(super) fn on_jobs_page(&mut self, outcome: &Outcome) {
+        let Some(page) = self.decode_page(outcome) else {
+            return;
+        };
+        self.replica.apply_page(&page);
+        if page.truncated {
+            let last = page.pairs.last().map(|pair| pair.key.clone());
+            return self.load_jobs(last.as_deref());
+        }
+        self.replication.loading = false;
+        self.replica.loaded = true;
+        info!(
+            "replica loaded at revision {}: {} jobs",
+            self.replica.revision,
+            self.replica.jobs.len()
+        );
+        if self.is_outdated() {
+            self.on_format_changed();
+        }
+        self.lease_tick();
+    }
+
+    fn decode_page(&mut self, outcome: &Outcome) -> Option<wire::Page> {
+        let page = match outcome {
+            Outcome::Answer { status: 200, body } => wire::decode::<wire::Page>(body),
+            _ => None,
+        };
+        if page.is_none() {
+            self.replication.loading = false;
+            self.replication.next_load_at = self.now.steady + PAGE_RETRY_MS;
+        }
+        page
+    }
+
+    fn watch_path(&self, hold_ms: u64) -> String {
+        let from = self.replica.revision;
+        format!("/watch?under={ROOT_PREFIX}&from={from}&holdMs={hold_ms}")
+    }
+
+    /// Between two reads of a sort that may have this share of the
+    /// controller's requests.
+    fn read_gap_ms(&self, share: f64) -> u64 {
+        let controllers = (self.settings.peers.len() + 1) as f64;
+        let cluster = &self.settings.cluster;
+        let gap_ms = 1000.0 * controllers / (cluster.state.rps * share);
+        gap_ms.max(READ_CORE_MS / cluster.limits.cpu_share) as u64
+    }
+
+    pub(super) fn watch_tick(&mut self) {
+        if !self.replica.loaded {
+            return;
+        }
+        self.watch_if_due();
+        self.read_if_wanted();
+    }
+
+    fn watch_if_due(&mut self) {
+        let now = self.now.steady;
+        // While reads for users follow one another, they tell all that a watch
+        // would, and a second copy of it is read for nothing.
+        let next_read_at = self.replication.next_read_at;
+        let reads_suffice = now < next_read_at + self.read_gap_ms(USER_READ_SHARE) / 2;
+        let due =
+            !self.replication.watching && !reads_suffice && now >= self.replication.next_watch_at;
+        if !due || !self.state_requests.try_take(now, 1.0, WATCH_RESERVE) {
+            return;
+        }
+        self.replication.watching = true;
+        // Never more than so many a second, however much changes.
+        self.replication.next_watch_at = now + self.read_gap_ms(WATCH_SHARE);
+        let pending = PendingCall::Watch {
+            from: self.replica.revision,
+            asked: self.event_time(),
+        };
+        let path = self.watch_path(WATCH_HOLD_MS);
+        let call = HttpCall::get(path, WATCH_HOLD_MS + STATE_TIMEOUT_MS);
+        self.call_state_service(pending, call);
+    }
+
+    fn read_if_wanted(&mut self) {
+        let now = self.now.steady;
+        let replication = &self.replication;
+        if replication.reading || now < replication.next_read_at || !self.is_read_wanted() {
+            return;
+        }
+        if !self.state_requests.try_take(now, 1.0, USER_READ_RESERVE) {
+            return;
+        }
+        self.replication.reading = true;
+        self.replication.next_read_at = now + self.read_gap_ms(USER_READ_SHARE);
+        let pending = PendingCall::ReadChanges {
+            from: self.replica.revision,
+            asked: self.event_time(),
+        };
+        let call = HttpCall::get(self.watch_path(0), READ_TIMEOUT_MS);
+        self.call_state_service(pending, call);
+    }
+
+    /// Whether somebody waits for a replica that is newer than the present one.
+    fn is_read_wanted(&self) -> bool {
+        let complete = self.replication.complete_as_of;
+        let waits = |stage: &RequestStage| match stage {
+            RequestStage::Replica { after, revision } => {
+                let too_old = complete.is_none_or(|c| c.sequence < *after);
+                too_old || self.replica.revision < *revision
+            }
+            _ => false,
+        };
+        self.pending_term.is_some() || self.users.values().any(|user| waits(&user.stage))
+    }
+
+    /// Takes in the answer to a watch, or to a read for somebody who waits.
+    pub(super) fn on_changes(
+        &mut self,
+        outcome: &Outcome,
+        from: u64,
+        asked: EventTime,
+        for_users: bool,
+    ) {
+        let now = self.now.steady;
+        match outcome {
+            Outcome::Answer { status: 200, body } => match wire::decode::<wire::WatchReply>(body) {
+                Some(reply) => self.apply_changes(&reply, from, asked),
+                None => warn!("a watch's answer can't be read"),
+            },
+            Outcome::Answer { status: 410, .. } => {
+                warn!("the watch fell too far behind: reading everything again");
+                self.replica.loaded = false;
+                self.replication.next_load_at = 0;
+                if self.lease.epoch().is_some() {
+                    self.resign("the replica has to be read again", 0);
+                }
+            }
+            _ => {
+                if for_users {
+                    self.forward_waiting_users();
+                }
+                self.replication.next_watch_at = now + READ_RETRY_MS;
+                self.replication.next_read_at = now + READ_RETRY_MS;
+            }
+        }
+    }
+
+    fn apply_changes(&mut self, reply: &wire::WatchReply, from: u64, asked: EventTime) {
+        let format = self.format();
+        let effects = self
+            .replica
+            .apply_changes(reply.revision, from, &reply.changes);
+        let complete = self.replication.complete_as_of;
+        let newer = complete.is_none_or(|c| c.sequence < asked.sequence);
+        if newer && self.replica.revision >= reply.revision {
+            self.replication.complete_as_of = Some(asked);
+        }
+        for effect in effects {
+            self.on_replica_change(effect);
+        }
+        self.pass_dependency_events();
+        if self.replica.format > format {
+            self.on_format_changed();
+        }
+        self.begin_term();
+        self.resolve_waiting_users();
+    }
+
+    fn on_replica_change(&mut self, change: ReplicaChange) {
+        let now = self.now.steady;
+        match change {
+            ReplicaChange::JobUpdated(id) => {
+                let Some(job) = self.replica.jobs.get(&id) else {
+                    return;
+                };
+                if let Some(scheduler) = &mut self.scheduler {
+                    let dependencies = &self.replica.dependencies;
+                    let ready_at = job.record.submitted_at;
+                    scheduler.apply_job(&id, job, dependencies, ready_at, now);
+                }
+            }
+            ReplicaChange::JobRemoved(id) => {
+                if let Some(scheduler) = &mut self.scheduler {
+                    scheduler.remove_job(&id);
+                }
+            }
+            ReplicaChange::LeaderChanged => {
+                if self.lease.on_replica_change(&self.replica) {
+                    self.step_down("the leader key is not ours any more");
+                }
+                self.lease_tick();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/stats.rs
@@ -0,0 +1,107 @@
+//! What came in and went out, for the log.
+
+use tracing::info;
+
+use super::calls::PendingCall;
+use super::Node;
+
+/// How often it is logged.
+const INTERVAL_MS: u64 = 10_000;
+
+/// When it is logged next.
+#[derive(Debug)]
+pub(super) struct StatsTimer {
+    next_at: u64,
+}
+
+impl Default for StatsTimer {
+    fn default() -> StatsTimer {
+        StatsTimer {
+            next_at: INTERVAL_MS,
+        }
+    }
+}
+
+/// What came in and went out since the last look.
+#[derive(Debug, Default)]
+pub(super) struct TrafficStats {
+    pub checkins: u64,
+    pub users: u64,
+    pub peers: u64,
+    pub replies: u64,
+    state_calls: u64,
+    cloud_calls: u64,
+    worker_calls: u64,
+    mesh_calls: u64,
+    pub plans: u64,
+    pub plan_ms: u64,
+    /// The longest that a tick was late.
+    pub tick_late_ms: u64,
+    /// The longest that anything waited to be read.
+    pub read_delay_ms: u64,
+}
+
+impl TrafficStats {
+    pub fn count_call(&mut self, call: &PendingCall) {
+        let count = match call {
+            PendingCall::Worker { .. } => &mut self.worker_calls,
+            PendingCall::PeerStatus { .. } | PendingCall::Forward { .. } => &mut self.mesh_calls,
+            PendingCall::MachineTypes
+            | PendingCall::MachineList { .. }
+            | PendingCall::Rent { .. }
+            | PendingCall::Delete { .. } => &mut self.cloud_calls,
+            _ => &mut self.state_calls,
+        };
+        *count += 1;
+    }
+}
+
+impl Node {
+    pub(super) fn stats_tick(&mut self) {
+        let now = self.now.steady;
+        if now < self.stats_timer.next_at {
+            return;
+        }
+        self.stats_timer.next_at = now + INTERVAL_MS;
+        if let Some(times) = self.admission.take_times() {
+            info!(
+                "{} user requests, median {} ms, 99% {} ms, limit {}",
+                times.count,
+                times.median_ms,
+                times.p99_ms,
+                self.admission.limit()
+            );
+        }
+        let writes = self.writes.take_stats();
+        if writes.transactions > 0 {
+            info!(
+                "{} changes in {} transactions, {} waiting; {} throttled, {} in conflict, {} without answer",
+                writes.changes,
+                writes.transactions,
+                self.writes.waiting_count(),
+                writes.throttled,
+                writes.conflicts,
+                writes.unknown
+            );
+        }
+        let stats = std::mem::take(&mut self.stats);
+        info!(
+            "in: {} check-ins, {} users, {} peers, {} replies; calls: {} state, {} cloud, {} workers, {} mesh; {} plans in {} ms; late by {} ms, behind by {} ms",
+            stats.checkins,
+            stats.users,
+            stats.peers,
+            stats.replies,
+            stats.state_calls,
+            stats.cloud_calls,
+            stats.worker_calls,
+            stats.mesh_calls,
+            stats.plans,
+            stats.plan_ms,
+            stats.tick_late_ms,
+            stats.read_delay_ms
+        );
+        if let Some(scheduler) = &self.scheduler {
+            info!("leading: {}", scheduler.summary());
+        }
+    }
+}
--- /dev/null
+++ b/src/node/user_requests.rs
@@ -0,0 +1,536 @@
+//! Users' requests.
+
+use prost::Message;
+use tracing::debug;
+
+use super::calls::{HttpCall, PendingCall, READ_TIMEOUT_MS};
+use super::user_types::{Caller, PendingRequest, Refusal, RequestStage, UserRequest};
+use super::{Node, WriteOwner};
+use crate::cloud;
+use crate::job::{json_length, JobRecord, JobSpec, Shape};
+use crate::mesh::{ForwardedReply, ForwardedRequest, FORWARD_PATH};
+use crate::net::Outcome;
+use crate::replica::{final_key, job_key};
+use crate::wire::{self, Condition, Write};
+use crate::write_queue::{CommitResult, WriteClass, WriteRequest};
+
+/// A user gives up after 5 s, or 2 s for a poll.
+const SUBMIT_MS: u64 = 3500;
+const POLL_MS: u64 = 1700;
+const FORWARD_TIMEOUT_MS: u64 = 1600;
+/// Pause before a change is tried again.
+const RETRY_MS: u64 = 150;
+/// When users are to come back: the least that they wait anyway.
+const RETRY_AFTER_S: u32 = 1;
+/// Amounts that differ by less are the same.
+const EPSILON: f64 = 1e-6;
+/// Part of a value that a job's own fields may take, so that there is room for where
+/// its tasks are.
+const SPEC_SHARE: f64 = 0.6;
+/// What a task's place takes in a packed record at most, with a machine's name of usual
+/// length of which nothing is left out.
+const PLACE_BYTES: f64 = 16.0;
+
+/// Tasks of a job, for display.
+struct TaskCounts {
+    done: u64,
+    running: u64,
+}
+
+impl Node {
+    /// Fails for a controller that the state service refuses while another
+    /// one is served, or which hears none: users would keep to it and get no
+    /// answer for as long as it is cut off. An outage that all see takes nobody
+    /// out.
+    pub fn is_healthy(&self) -> bool {
+        if !self.replica.loaded || self.is_outdated() {
+            return false;
+        }
+        let alone = !self.peers.is_empty() && self.live_peers().next().is_none();
+        let another_served = || self.live_peers().any(|peer| peer.status.state_reachable);
+        self.is_state_reachable() || !(alone || another_served())
+    }
+
+    pub(super) fn on_user_request(
+        &mut self,
+        caller: Caller,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) {
+        let (id, request) = match parse_request(method, path, &body) {
+            Ok(parsed) => parsed,
+            Err(error) => return self.reply_error(caller, error.status, None, &error.reason),
+        };
+        // An end is final: no need to read anything.
+        if let Some(state) = self.replica.final_state(&id) {
+            return self.reply_status(caller, &id, 200, state.status(), None);
+        }
+        if !self.admission.admits(self.users.len()) {
+            return self.reply_error(caller, 429, Some(RETRY_AFTER_S), "too much at once");
+        }
+        let user = self.next_user;
+        self.next_user += 1;
+        let pending = PendingRequest {
+            caller,
+            id,
+            request,
+            since: self.now.steady,
+            stage: RequestStage::Replica {
+                after: self.event_count,
+                revision: 0,
+            },
+            body,
+            found_dependencies: vec![],
+            names_unknown_job: false,
+        };
+        self.users.insert(user, pending);
+        if !self.replica.loaded || !self.is_state_reachable() || self.is_outdated() {
+            return self.forward_user(user);
+        }
+        self.accept_new_job(user);
+    }
+
+    /// Creates a job that is not known and can run. Any other request, also one that is to
+    /// be refused, waits for a newer replica: it may have been accepted before.
+    fn accept_new_job(&mut self, user: u64) {
+        let Some(pending) = self.users.get(&user) else {
+            return;
+        };
+        let UserRequest::Submit(spec) = &pending.request else {
+            return;
+        };
+        if self.replica.jobs.contains_key(&pending.id) {
+            return;
+        }
+        match self.check_runnable(spec) {
+            Ok(()) => self.create_or_find_dependencies(user),
+            Err(refusal) => debug!("{}: {refusal}", pending.id),
+        }
+    }
+
+    /// Whether a job can run at all.
+    fn check_runnable(&self, spec: &JobSpec) -> Result<(), Refusal> {
+        let teams = &self.settings.cluster.teams;
+        let team = teams.iter().find(|team| team.name == spec.team);
+        let team = team.ok_or(Refusal::UnknownTeam)?;
+        let tasks_at_once = match spec.shape {
+            Shape::Gang => f64::from(spec.tasks),
+            Shape::Array | Shape::Service => 1.0,
+        };
+        let beyond = |max: f64, task: f64| max > 0.0 && task * tasks_at_once > max + EPSILON;
+        if beyond(team.cpus_max, spec.cpus) || beyond(team.gpus_max, spec.gpus) {
+            return Err(Refusal::BeyondTeamLimit);
+        }
+        if self.machine_types.is_empty() {
+            return Err(Refusal::MachineTypesUnknown);
+        }
+        if !cloud::can_run(spec, &self.machine_types) {
+            return Err(Refusal::FitsNoMachineType);
+        }
+        self.check_fits_record(spec)
+    }
+
+    /// Whether a job's record fits into a value, also under limits to come: its own fields
+    /// beside some places, and for a gang, whose tasks start together, all of its places.
+    fn check_fits_record(&self, spec: &JobSpec) -> Result<(), Refusal> {
+        let value_bytes = self.settings.cluster.state.lowered().value_kb * 1024.0;
+        let record = JobRecord::new(spec.clone(), self.now.wall).to_value(0);
+        let record_bytes = json_length(&record) as f64;
+        if record_bytes > value_bytes * SPEC_SHARE {
+            return Err(Refusal::TooLongToKeep);
+        }
+        let places_bytes = f64::from(spec.tasks) * PLACE_BYTES;
+        if spec.shape == Shape::Gang && record_bytes + places_bytes > value_bytes {
+            return Err(Refusal::GangTooLargeToKeep);
+        }
+        Ok(())
+    }
+
+    /// Writes the record of a new job.
+    pub(super) fn create_job(&mut self, user: u64) {
+        let format = self.format();
+        let wall = self.now.wall;
+        let Some(pending) = self.users.get_mut(&user) else {
+            return;
+        };
+        let UserRequest::Submit(spec) = &pending.request else {
+            return;
+        };
+        let record = JobRecord::new((**spec).clone(), wall);
+        pending.stage = RequestStage::Commit;
+        let id = &pending.id;
+        self.writes.push(WriteRequest {
+            owner: WriteOwner::User(user),
+            conditions: vec![
+                Condition::new(job_key(id), 0),
+                Condition::new(final_key(id), 0),
+            ],
+            writes: vec![Write::set(job_key(id), record.to_value(format))],
+            class: WriteClass::User,
+        });
+    }
+
+    /// Writes a job's cancellation.
+    fn cancel_job(&mut self, user: u64, id: &str) {
+        let format = self.format();
+        let Some(live) = self.replica.jobs.get(id) else {
+            return;
+        };
+        let mut record = (*live.record).clone();
+        record.cancelled = true;
+        let request = WriteRequest {
+            owner: WriteOwner::User(user),
+            conditions: vec![Condition::new(job_key(id), live.version)],
+            writes: vec![Write::set(job_key(id), record.to_value(format))],
+            class: WriteClass::User,
+        };
+        self.set_stage(user, RequestStage::Commit);
+        self.writes.push(request);
+    }
+
+    pub(super) fn set_stage(&mut self, user: u64, stage: RequestStage) {
+        if let Some(pending) = self.users.get_mut(&user) {
+            pending.stage = stage;
+        }
+    }
+
+    /// Forwards a request to a controller that is served, or says when to come back.
+    pub(super) fn forward_user(&mut self, user: u64) {
+        let Some(pending) = self.users.get(&user) else {
+            return;
+        };
+        let served = self.settings.peers.iter().find(|peer| {
+            let status = self.recent_status(&peer.member);
+            status.is_some_and(|status| status.state_reachable)
+        });
+        let address = served.map(|peer| peer.address);
+        let caller = pending.caller;
+        let Some(address) = address.filter(|_| !caller.forwarded) else {
+            self.users.remove(&user);
+            let why = "the state service does not answer";
+            return self.reply_error(caller, 503, Some(RETRY_AFTER_S), why);
+        };
+        let id = &pending.id;
+        let (method, path) = match &pending.request {
+            UserRequest::Submit(_) => ("POST", wire::JOBS_PATH.to_string()),
+            UserRequest::Poll => ("GET", format!("{}/{id}", wire::JOBS_PATH)),
+            UserRequest::Cancel => ("POST", format!("{}/{id}/cancel", wire::JOBS_PATH)),
+        };
+        let body = ForwardedRequest {
+            method: method.into(),
+            path,
+            body: pending.body.clone(),
+        }
+        .encode_to_vec();
+        self.set_stage(user, RequestStage::Forwarded);
+        let call = HttpCall::post(FORWARD_PATH, body, FORWARD_TIMEOUT_MS);
+        self.call(PendingCall::Forward { user }, address, call);
+    }
+
+    /// A read for users has failed: those who wait for it are forwarded.
+    pub(super) fn forward_waiting_users(&mut self) {
+        let waits = |stage: RequestStage| matches!(stage, RequestStage::Replica { .. });
+        for user in self.users_where(|pending| waits(pending.stage)) {
+            self.forward_user(user);
+        }
+    }
+
+    fn users_where(&self, matches: impl Fn(&PendingRequest) -> bool) -> Vec<u64> {
+        let users = self.users.iter().filter(|(_, pending)| matches(pending));
+        users.map(|(user, _)| *user).collect()
+    }
+
+    /// The replica was read anew: whoever waited for that goes on.
+    pub(super) fn resolve_waiting_users(&mut self) {
+        if !self.replica.loaded {
+            // It is being read anew, and lacks what is on later pages.
+            return;
+        }
+        let complete = self.replication.complete_as_of;
+        let sequence = complete.map_or(0, |complete| complete.sequence);
+        let current = self.replica.revision;
+        let ready = self.users_where(|pending| match pending.stage {
+            RequestStage::Replica { after, revision } => after <= sequence && revision <= current,
+            _ => false,
+        });
+        for user in ready {
+            self.resolve_user(user);
+        }
+    }
+
+    /// Decides with a replica that is newer than the request.
+    fn resolve_user(&mut self, user: u64) {
+        let Some(pending) = self.users.get(&user) else {
+            return;
+        };
+        let id = pending.id.clone();
+        let is_cancel = matches!(pending.request, UserRequest::Cancel);
+        if let Some(state) = self.replica.final_state(&id) {
+            return self.finish_status(user, 200, state.status(), None);
+        }
+        let Some(live) = self.replica.jobs.get(&id) else {
+            // Neither alive nor known to be over: look.
+            return self.read_final(user, &id);
+        };
+        if self.replica.is_cancelled(&id) {
+            return self.finish_status(user, 200, wire::WITHDRAWN, None);
+        }
+        if is_cancel {
+            return self.cancel_job(user, &id);
+        }
+        if self.replica.dependencies.has_unresolved(&id) {
+            // It may be cancelled by a job that is yet to be looked up.
+            let after = self.event_count + 1;
+            return self.set_stage(user, RequestStage::Replica { after, revision: 0 });
+        }
+        let counts = TaskCounts {
+            done: live.record.done.len(),
+            running: live.record.placed_tasks(),
+        };
+        let status = if counts.running > 0 {
+            wire::RUNNING
+        } else {
+            wire::PENDING
+        };
+        self.finish_status(user, 200, status, Some(counts));
+    }
+
+    fn read_final(&mut self, user: u64, id: &str) {
+        self.set_stage(user, RequestStage::Read);
+        let call = HttpCall::get(format!("/kv/{}", final_key(id)), READ_TIMEOUT_MS);
+        self.call_state_service(PendingCall::ReadFinal { user }, call);
+    }
+
+    pub(super) fn on_final_read(&mut self, user: u64, outcome: &Outcome) {
+        let Some(pending) = self.users.get(&user) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answer { status: 200, body } => {
+                let id = pending.id.clone();
+                match wire::final_state_reply(body) {
+                    Some(state) => {
+                        self.replica.record_final(&id, state);
+                        self.pass_dependency_events();
+                        self.finish_status(user, 200, state.status(), None);
+                    }
+                    None => self.finish_user(user, 503, Some(RETRY_AFTER_S), vec![]),
+                }
+            }
+            Outcome::Answer { status: 404, .. } => self.on_unknown_job(user),
+            _ => self.forward_user(user),
+        }
+    }
+
+    /// A job was never accepted: a submission is decided on, other requests end.
+    fn on_unknown_job(&mut self, user: u64) {
+        let Some(pending) = self.users.get(&user) else {
+            return;
+        };
+        let UserRequest::Submit(spec) = &pending.request else {
+            let body = wire::encode(&wire::ErrorReply {
+                error: "no such job",
+            });
+            return self.finish_user(user, 404, None, body);
+        };
+        let decision = match self.check_runnable(spec) {
+            Ok(()) if pending.names_unknown_job => Err(Refusal::NamesUnknownJob),
+            decision => decision,
+        };
+        match decision {
+            Ok(()) => self.create_or_find_dependencies(user),
+            Err(refusal) => {
+                let body = wire::encode(&wire::ErrorReply {
+                    error: &refusal.to_string(),
+                });
+                self.finish_user(user, refusal.status(), refusal.retry_after(), body);
+            }
+        }
+    }
+
+    pub(super) fn on_user_commit(&mut self, user: u64, result: &CommitResult) {
+        let (now, after) = (self.now.steady, self.event_count);
+        let Some(pending) = self.users.get_mut(&user) else {
+            return;
+        };
+        match result {
+            CommitResult::Committed { .. } => match pending.request {
+                UserRequest::Cancel => self.finish_status(user, 200, wire::WITHDRAWN, None),
+                _ => self.finish_status(user, 201, wire::PENDING, None),
+            },
+            // Another change came first: see what stands now.
+            CommitResult::Conflict { revision, .. } => {
+                let revision = *revision;
+                pending.stage = RequestStage::Replica { after, revision };
+            }
+            CommitResult::Rejected | CommitResult::Unknown => {
+                let until = now + RETRY_MS;
+                pending.stage = RequestStage::Pause { until };
+            }
+        }
+    }
+
+    /// Ends requests that have taken too long, and goes on with those that paused.
+    pub(super) fn users_tick(&mut self) {
+        let now = self.now.steady;
+        let is_late = |pending: &PendingRequest| {
+            let max_ms = match pending.request {
+                UserRequest::Poll => POLL_MS,
+                UserRequest::Submit(_) | UserRequest::Cancel => SUBMIT_MS,
+            };
+            now > pending.since + max_ms
+        };
+        let late = self.users_where(is_late);
+        let paused = self.users_where(|pending| {
+            let over = matches!(pending.stage, RequestStage::Pause { until } if now >= until);
+            over && !is_late(pending)
+        });
+        for user in late {
+            // Its change may still get through; the user asks again.
+            self.writes
+                .remove_waiting(|owner| matches!(owner, WriteOwner::User(other) if *other == user));
+            self.finish_user(user, 503, Some(RETRY_AFTER_S), vec![]);
+        }
+        for user in paused {
+            self.retry_user(user);
+        }
+    }
+
+    fn retry_user(&mut self, user: u64) {
+        if !self.is_state_reachable() {
+            return self.forward_user(user);
+        }
+        let after = self.event_count;
+        let Some(pending) = self.users.get_mut(&user) else {
+            return;
+        };
+        match pending.request {
+            // The same create: if the first one got through, this one
+            // fails on its condition and the job is found.
+            UserRequest::Submit(_) => self.create_job(user),
+            UserRequest::Poll | UserRequest::Cancel => {
+                pending.stage = RequestStage::Replica { after, revision: 0 };
+            }
+        }
+    }
+
+    /// Removes a request that has its answer.
+    fn take_user(&mut self, user: u64) -> Option<PendingRequest> {
+        let pending = self.users.remove(&user)?;
+        let now = self.now.steady;
+        let took_ms = now - pending.since;
+        self.admission.record(took_ms, self.users.len() + 1, now);
+        Some(pending)
+    }
+
+    pub(super) fn finish_user(
+        &mut self,
+        user: u64,
+        status: u16,
+        retry_after: Option<u32>,
+        body: Vec<u8>,
+    ) {
+        if let Some(pending) = self.take_user(user) {
+            self.reply(pending.caller, status, retry_after, body);
+        }
+    }
+
+    fn finish_status(
+        &mut self,
+        user: u64,
+        status: u16,
+        job_status: &str,
+        counts: Option<TaskCounts>,
+    ) {
+        if let Some(pending) = self.take_user(user) {
+            self.reply_status(pending.caller, &pending.id, status, job_status, counts);
+        }
+    }
+
+    fn reply_status(
+        &mut self,
+        caller: Caller,
+        id: &str,
+        status: u16,
+        job_status: &str,
+        counts: Option<TaskCounts>,
+    ) {
+        if job_status == wire::WITHDRAWN {
+            self.note_told_cancelled(id);
+        }
+        let body = wire::encode(&wire::JobStatusReply {
+            id,
+            status: job_status,
+            done: counts.as_ref().map(|counts| counts.done),
+            running: counts.as_ref().map(|counts| counts.running),
+        });
+        self.reply(caller, status, None, body);
+    }
+
+    fn reply_error(&mut self, caller: Caller, status: u16, retry_after: Option<u32>, reason: &str) {
+        let body = wire::encode(&wire::ErrorReply { error: reason });
+        self.reply(caller, status, retry_after, body);
+    }
+
+    fn reply(&mut self, caller: Caller, status: u16, retry_after: Option<u32>, body: Vec<u8>) {
+        if !caller.forwarded {
+            return self.answer(caller.connection, status, retry_after, body);
+        }
+        let reply = ForwardedReply {
+            status: u32::from(status),
+            retry_after,
+            body,
+        };
+        self.answer(caller.connection, 200, None, reply.encode_to_vec());
+    }
+}
+
+/// Why a request can't be read.
+struct RequestError {
+    status: u16,
+    reason: String,
+}
+
+impl RequestError {
+    fn new(status: u16, reason: impl Into<String>) -> RequestError {
+        RequestError {
+            status,
+            reason: reason.into(),
+        }
+    }
+}
+
+/// The job and what the user wants of it.
+fn parse_request(
+    method: &str,
+    path: &str,
+    body: &[u8],
+) -> Result<(String, UserRequest), RequestError> {
+    let no_such_path = || RequestError::new(404, "no such path");
+    let wrong_method = || RequestError::new(405, "not this method here");
+    let rest = path
+        .strip_prefix(wire::JOBS_PATH)
+        .ok_or_else(no_such_path)?;
+    if rest.is_empty() {
+        if method != "POST" {
+            return Err(RequestError::new(405, "only POST here"));
+        }
+        let (id, spec) = wire::parse_submission(body).map_err(|e| {
+            debug!("{e}: {}", wire::readable(body));
+            RequestError::new(400, e.to_string())
+        })?;
+        return Ok((id, UserRequest::Submit(Box::new(spec))));
+    }
+    let name = rest.strip_prefix('/').ok_or_else(no_such_path)?;
+    let (id, request) = match name.strip_suffix("/cancel") {
+        Some(id) if method == "POST" => (id, UserRequest::Cancel),
+        None if method == "GET" && !name.contains('/') => (name, UserRequest::Poll),
+        None if name.contains('/') => return Err(no_such_path()),
+        _ => return Err(wrong_method()),
+    };
+    if !wire::is_job_id(id) {
+        return Err(RequestError::new(404, "no such job"));
+    }
+    Ok((id.to_string(), request))
+}
--- /dev/null
+++ b/src/plan/mod.rs
@@ -0,0 +1,18 @@
+//! The gang cycle: a pure function from a snapshot to placements, victims and
+//! held room. Nothing here knows of sockets, clocks or records.
+
+mod cycle;
+mod cycle_state;
+mod decision;
+mod order;
+mod resources;
+mod search;
+mod snapshot;
+
+pub use cycle::cycle;
+pub use decision::{Decision, PlannedPlacement, PlannedReservation, PlannedStop, UnmetDemand};
+pub use resources::Resources;
+pub use snapshot::{
+    is_allowed, lowest_priority, tasks_per_zone_max, JobView, MachineView, Reservation, Snapshot,
+    TaskView, TeamView, ZoneCounts,
+};
--- /dev/null
+++ b/src/plan/resources.rs
@@ -0,0 +1,95 @@
+//! What tasks take and machines have.
+
+use crate::job::JobSpec;
+
+/// Differences below this come from rounding.
+pub(super) const EPSILON: f64 = 1e-6;
+/// More tasks than any job has.
+pub(super) const COUNT_MAX: f64 = 100_000.0;
+/// How much GPUs weigh in the share of a machine, against CPUs and memory.
+const GPU_WEIGHT: f64 = 2.0;
+
+/// What a task takes, or what a machine has.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Resources {
+    /// CPUs.
+    pub cpus: f64,
+    /// GPUs.
+    pub gpus: f64,
+    /// Memory in GB.
+    pub memory_gb: f64,
+}
+
+impl Resources {
+    /// What each task of a job takes.
+    pub fn of(spec: &JobSpec) -> Resources {
+        Resources {
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            memory_gb: spec.memory_gb,
+        }
+    }
+
+    /// Adds to each.
+    pub fn add(&mut self, other: Resources) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    /// Subtracts from each.
+    pub fn sub(&mut self, other: Resources) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+
+    /// Each, so many times.
+    pub fn scaled(self, factor: f64) -> Resources {
+        Resources {
+            cpus: self.cpus * factor,
+            gpus: self.gpus * factor,
+            memory_gb: self.memory_gb * factor,
+        }
+    }
+
+    /// Whether there is enough of each.
+    pub fn fits(&self, demand: Resources) -> bool {
+        self.cpus + EPSILON >= demand.cpus
+            && self.gpus + EPSILON >= demand.gpus
+            && self.memory_gb + EPSILON >= demand.memory_gb
+    }
+
+    /// The lesser of each.
+    pub(super) fn min(self, other: Resources) -> Resources {
+        Resources {
+            cpus: self.cpus.min(other.cpus),
+            gpus: self.gpus.min(other.gpus),
+            memory_gb: self.memory_gb.min(other.memory_gb),
+        }
+    }
+
+    /// How many tasks with this demand fit.
+    pub fn count_of(&self, demand: Resources) -> u32 {
+        let fitting = |available: f64, demand: f64| {
+            if demand <= EPSILON {
+                f64::INFINITY
+            } else {
+                ((available + EPSILON) / demand).floor()
+            }
+        };
+        let count = fitting(self.cpus, demand.cpus)
+            .min(fitting(self.gpus, demand.gpus))
+            .min(fitting(self.memory_gb, demand.memory_gb));
+        count.clamp(0.0, COUNT_MAX) as u32
+    }
+
+    /// The share that this is of `total`, from 0 to 1.
+    pub(super) fn share_of(&self, total: Resources) -> f64 {
+        let share = |part: f64, total: f64| if total > EPSILON { part / total } else { 0.0 };
+        (share(self.cpus, total.cpus)
+            + GPU_WEIGHT * share(self.gpus, total.gpus)
+            + share(self.memory_gb, total.memory_gb))
+            / (2.0 + GPU_WEIGHT)
+    }
+}
--- /dev/null
+++ b/src/scheduler/machine_list.rs
@@ -0,0 +1,103 @@
+//! What the cloud's list shows, and confirmed deletions.
+
+use std::collections::HashSet;
+
+use super::{to_ms, Scheduler};
+use crate::machine::{CloudStatus, Machine};
+use crate::wire::{self, ListedMachine};
+
+/// For how long deleted machines are remembered, beyond what the list lags: reports of
+/// machines that are gone may come minutes late.
+const DELETED_MEMORY_MS: u64 = 600_000;
+/// Added to twice the list's usual lag.
+const LAG_MARGIN_MS: u64 = 1000;
+
+impl Scheduler {
+    /// Takes in a whole list, asked for at `asked_at`.
+    pub fn on_machine_list(&mut self, list: &[ListedMachine], asked_at: u64, now: u64) {
+        let lag_ms = 2 * to_ms(self.cluster.cloud.list_lag_s) + LAG_MARGIN_MS;
+        self.listed_once = true;
+        let mut names = HashSet::new();
+        for listed in list {
+            names.insert(listed.name.as_str());
+            // What was deleted is gone for good; the list lags.
+            if !self.deleted_machines.contains_key(&listed.name) {
+                self.apply_listed(listed, now);
+            }
+        }
+        for machine in self.machines.values_mut() {
+            let was_listed = !matches!(
+                machine.cloud_status,
+                CloudStatus::NotListed | CloudStatus::Gone
+            );
+            let known_for_long = machine.known_since + 2 * lag_ms < asked_at
+                || machine.cloud_status == CloudStatus::Running;
+            if !names.contains(&*machine.name)
+                && was_listed
+                && known_for_long
+                && machine.known_since + lag_ms < asked_at
+            {
+                machine.cloud_status = CloudStatus::Gone;
+            }
+        }
+        let memory_ms = 4 * lag_ms + DELETED_MEMORY_MS;
+        self.deleted_machines.retain(|_, at| now < *at + memory_ms);
+        self.dirty = true;
+    }
+
+    fn apply_listed(&mut self, listed: &ListedMachine, now: u64) {
+        let age_ms = to_ms(listed.age_s.unwrap_or(0.0));
+        let since = now.saturating_sub(age_ms);
+        let machine = self.machines.entry(listed.name.clone());
+        let machine = machine.or_insert_with(|| {
+            let (machine_type, zone) = (&listed.machine_type, &listed.zone);
+            Machine::new(&listed.name, machine_type, zone, listed.spot, since)
+        });
+        if machine.machine_type.is_empty() {
+            machine.machine_type = listed.machine_type.as_str().into();
+            machine.zone = listed.zone.as_str().into();
+            machine.spot = listed.spot;
+            machine.view = None;
+        }
+        if machine.address.is_none() {
+            let endpoint = listed.endpoint.as_ref();
+            machine.address = endpoint.and_then(|endpoint| endpoint.parse().ok());
+        }
+        machine.cloud_status = match (machine.cloud_status, wire::cloud_status(&listed.status)) {
+            (CloudStatus::Failed, _) => CloudStatus::Failed,
+            (CloudStatus::Running, CloudStatus::Starting) => CloudStatus::Running,
+            (_, status) => status,
+        };
+    }
+
+    /// The cloud has answered a deletion. If it confirms it, the machines and all on them
+    /// are gone.
+    pub fn on_deleted(&mut self, names: &[String], confirmed: bool, now: u64) {
+        for name in names {
+            if confirmed {
+                self.remove_machine(name, now);
+            } else if let Some(machine) = self.machines.get_mut(name) {
+                machine.delete_sent_at = Some(now);
+            }
+        }
+    }
+
+    fn remove_machine(&mut self, name: &str, now: u64) {
+        self.deleted_machines.insert(name.to_string(), now);
+        self.direct_commands.remove(name);
+        self.startable.remove(name);
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let recorded = std::mem::take(&mut machine.recorded);
+        let reservations = std::mem::take(&mut machine.reservations);
+        for task in recorded {
+            self.remove_placement(&task.job, task.task, now);
+        }
+        for held in reservations {
+            self.release_reservations(&held.job);
+        }
+        self.machines.remove(name);
+        self.dirty = true;
+    }
+}
--- /dev/null
+++ b/src/scheduler/mod.rs
@@ -0,0 +1,236 @@
+//! The leader's scheduling state: jobs, machines, what may be running where, and what to
+//! do about it. Takes events and the time, gives effects. Made anew with each term.
+
+mod arrivals;
+mod commands;
+mod decisions;
+mod dependency_links;
+mod effects;
+mod gangs;
+mod job_state;
+mod machine_list;
+mod placements;
+mod probes;
+mod purchasing;
+mod records;
+mod rentals;
+mod reports;
+mod reserve;
+mod returns;
+mod snapshots;
+mod starts;
+mod upkeep;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+pub use effects::{DirectStart, Effect};
+pub use job_state::{Job, Placement};
+pub use rentals::RentalOutcome;
+pub use reports::ReportOrigin;
+pub use upkeep::Reachability;
+
+use crate::machine::Machine;
+use crate::rate_limit::TokenBucket;
+use crate::replica::Replica;
+use crate::settings::{ClusterSettings, OperatorSettings, StateLimits};
+use crate::wire::{Command, MachineType};
+use arrivals::ArrivalRate;
+use dependency_links::DependencyLinks;
+use rentals::Rentals;
+
+/// Commands that one answer or request may carry.
+const COMMANDS_MAX: usize = 300;
+/// Starts that a whole core sends in a second to workers that have no check-in for them to
+/// go with; a part of a core accordingly fewer. Each is a connection made for it.
+const DIRECT_STARTS_PER_CORE: f64 = 600.0;
+
+/// The leadership that a [`Scheduler`] acts under.
+#[derive(Debug, Clone)]
+pub struct Term {
+    /// The leader's name.
+    pub member: String,
+    /// Its fencing token.
+    pub epoch: u64,
+    /// The key that is ours as long as we lead.
+    pub key: &'static str,
+    /// The key's version.
+    pub key_version: u64,
+    /// Time of day when the term began, in milliseconds.
+    pub began_wall_ms: u64,
+}
+
+/// The leader's scheduling state.
+///
+/// Jobs know their placements, machines the tasks that are on record for them; both change
+/// together, in `add_placement` and `remove_placement` only.
+#[derive(Debug)]
+pub struct Scheduler {
+    term: Term,
+    cluster: ClusterSettings,
+    operator: OperatorSettings,
+    /// When the term began, on the steady clock.
+    began_at: u64,
+    /// Live jobs.
+    pub jobs: BTreeMap<String, Job>,
+    dependency_links: DependencyLinks,
+    /// The form in which records are written.
+    format: u64,
+    /// Rented machines, and those that a record or a report names.
+    pub machines: BTreeMap<String, Machine>,
+    machine_types: Arc<Vec<MachineType>>,
+    /// The names of machine types and zones, one copy for all machines.
+    shared_names: Vec<Arc<str>>,
+    rentals: Rentals,
+    /// Commands that are to go straight to workers.
+    direct_commands: BTreeMap<Arc<str>, Vec<Command>>,
+    /// Machines with starts on record that have not gone out.
+    startable: BTreeSet<Arc<str>>,
+    effects: Vec<Effect>,
+    /// Something changed that the planner should look at.
+    pub dirty: bool,
+    /// The next snapshot ends all backoffs.
+    end_backoffs: bool,
+    direct_start_limit: TokenBucket,
+    /// Jobs waited for places when the last snapshot was taken.
+    jobs_wait: bool,
+    /// The cloud's list has been read in this term.
+    listed_once: bool,
+    /// Machines whose deletion was confirmed, and when.
+    deleted_machines: HashMap<String, u64>,
+    /// How often work came that needs ordinary machines, by class.
+    arrivals: BTreeMap<String, ArrivalRate>,
+    next_upkeep_at: u64,
+    /// Machines that can't be reached were returned.
+    returned_unreachable: bool,
+    /// Workers that other controllers redirected lately, if most of them are heard.
+    redirected_elsewhere: Option<u32>,
+    /// When any machine reported something new.
+    last_report_at: u64,
+    /// When this controller was last seconds behind with reading what comes in.
+    lagging_at: Option<u64>,
+    /// When it was last a noticeable time behind.
+    overloaded_at: Option<u64>,
+}
+
+impl Scheduler {
+    /// The state that follows from a replica which holds the election of this term.
+    pub fn new(
+        term: Term,
+        cluster: &ClusterSettings,
+        operator: &OperatorSettings,
+        machine_types: Arc<Vec<MachineType>>,
+        replica: &Replica,
+        now: u64,
+    ) -> Scheduler {
+        let direct_starts = cluster.limits.cpu_share * DIRECT_STARTS_PER_CORE;
+        let mut scheduler = Scheduler {
+            term,
+            cluster: cluster.clone(),
+            operator: operator.clone(),
+            began_at: now,
+            jobs: BTreeMap::new(),
+            dependency_links: DependencyLinks::default(),
+            format: 0,
+            machines: BTreeMap::new(),
+            shared_names: shared_names(&machine_types),
+            machine_types,
+            rentals: Rentals::default(),
+            direct_commands: BTreeMap::new(),
+            startable: BTreeSet::new(),
+            effects: vec![],
+            dirty: true,
+            end_backoffs: false,
+            direct_start_limit: TokenBucket::new(direct_starts.max(1.0)),
+            jobs_wait: true,
+            listed_once: false,
+            deleted_machines: HashMap::new(),
+            arrivals: BTreeMap::new(),
+            next_upkeep_at: 0,
+            returned_unreachable: false,
+            redirected_elsewhere: None,
+            last_report_at: 0,
+            lagging_at: None,
+            overloaded_at: None,
+        };
+        // Since when a job has been ready is not on record.
+        let ready_at = scheduler.term.began_wall_ms;
+        for (id, job) in &replica.jobs {
+            scheduler.apply_job(id, job, &replica.dependencies, ready_at, now);
+        }
+        scheduler
+    }
+
+    /// The fencing token of this term.
+    pub fn epoch(&self) -> u64 {
+        self.term.epoch
+    }
+
+    /// Records are written in another form, within other limits.
+    pub fn set_format(&mut self, format: u64, limits: &StateLimits) {
+        self.format = format;
+        self.cluster.state = limits.clone();
+    }
+
+    /// The cloud's machine types were read.
+    pub fn set_machine_types(&mut self, machine_types: Arc<Vec<MachineType>>) {
+        self.shared_names = shared_names(&machine_types);
+        self.machine_types = machine_types;
+        for machine in self.machines.values_mut() {
+            machine.view = None;
+        }
+        self.dirty = true;
+    }
+
+    fn machine_type(&self, name: &str) -> Option<&MachineType> {
+        self.machine_types.iter().find(|t| t.name == name)
+    }
+
+    /// The longest usual boot time of any machine type.
+    fn boot_s(&self) -> f64 {
+        let boot_times = self.machine_types.iter().map(|t| t.boot_s);
+        boot_times.fold(1.0, f64::max)
+    }
+
+    /// What is to be done outside since the last call.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Room came free somewhere: gangs that back off for want of it look again.
+    fn retry_backed_off(&mut self) {
+        self.end_backoffs = true;
+        self.dirty = true;
+    }
+
+    /// The state in a line, for the log.
+    pub fn summary(&self) -> String {
+        let placed: usize = self.jobs.values().map(|job| job.placements.len()).sum();
+        let reports = |machine: &&Machine| machine.last_report_at.is_some();
+        let up = self.machines.values().filter(reports).count();
+        format!(
+            "epoch {}: {} jobs, {} tasks placed, {} machines ({} up)",
+            self.term.epoch,
+            self.jobs.len(),
+            placed,
+            self.machines.len(),
+            up
+        )
+    }
+}
+
+fn shared_names(machine_types: &[MachineType]) -> Vec<Arc<str>> {
+    let names = machine_types
+        .iter()
+        .flat_map(|machine_type| machine_type.zones.iter().chain([&machine_type.name]));
+    let distinct: BTreeSet<&String> = names.collect();
+    distinct
+        .into_iter()
+        .map(|name| name.as_str().into())
+        .collect()
+}
+
+/// Seconds as milliseconds; negative ones count as none.
+fn to_ms(seconds: f64) -> u64 {
+    (seconds.max(0.0) * 1000.0) as u64
+}
--- /dev/null
+++ b/src/scheduler/reports.rs
@@ -0,0 +1,389 @@
+//! What workers report.
+
+use std::sync::Arc;
+
+use tracing::{debug, warn};
+
+use super::job_state::StartDelivery;
+use super::{to_ms, Job, Placement, Scheduler};
+use crate::job::{task_name, Shape};
+use crate::machine::{ExitCause, Machine, RecordedTask, ReturnReason, TaskPhase};
+use crate::plan::Resources;
+use crate::wire::{self, Command, Report};
+
+/// How often a start on record is sent at most, before the place is given up.
+const SENDS_MAX: u32 = 3;
+/// A machine that was answered within this share of a lease must not have lost it.
+const ANSWERED_LEASE_SHARE: (u64, u64) = (3, 4);
+/// Longest rests after failures, as powers of two.
+const REST_DOUBLINGS_MAX: u32 = 5;
+const REFUSED_DOUBLINGS_MAX: u32 = 4;
+
+/// How a report came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportOrigin {
+    /// By itself: a check-in.
+    CheckIn,
+    /// In answer to a direct request.
+    DirectRequest,
+}
+
+/// What a report says of a task on record.
+enum Finding {
+    /// The task is there, in this state.
+    Present(TaskPhase),
+    /// The task is not there, and its place is proven empty.
+    ProvenAbsent,
+    /// The task is not there, but a start may still be on its way.
+    MayBeStarted,
+}
+
+/// What a report's tasks brought.
+#[derive(Default)]
+struct ReportEffects {
+    /// Room came free.
+    freed_room: bool,
+    /// A direct start may still be on its way.
+    start_pending: bool,
+}
+
+impl Scheduler {
+    /// Takes in a worker's report. True if it tells of room that waiting tasks could have:
+    /// an answer that waits a moment can carry their starts, instead of the next one a
+    /// report interval later.
+    pub fn on_report(&mut self, report: &Report, origin: ReportOrigin, now: u64) -> bool {
+        if self.deleted_machines.contains_key(&report.machine) {
+            // Gone for good: its report comes late.
+            return false;
+        }
+        let Some(woke) = self.apply_report(report, origin, now) else {
+            return false;
+        };
+        let Some(machine) = self.machines.get(&report.machine) else {
+            return false;
+        };
+        let name = machine.name.clone();
+        let current = report.epoch >= self.term.epoch;
+        let may_start = machine.is_retained() && current;
+        let free = !machine.is_occupied()
+            && (woke || machine.idle_since == Some(now) || report.tasks.is_empty());
+        let mut effects = ReportEffects {
+            freed_room: free,
+            start_pending: false,
+        };
+        // A report without our epoch may be a copy from before an earlier leader cleared a
+        // task and started it again under its attempt, or of a session that is over: what
+        // it says of places proves nothing.
+        if current {
+            for recorded in machine.recorded.clone() {
+                self.apply_task(&recorded, report, origin, may_start, &mut effects, now);
+            }
+        }
+        self.finish_report(&name, effects.start_pending, woke, now);
+        effects.freed_room && may_start && self.jobs_wait
+    }
+
+    /// Takes the report into the machine's state. `None` if it is not new; else whether
+    /// the machine may now have work for the first time.
+    fn apply_report(&mut self, report: &Report, origin: ReportOrigin, now: u64) -> Option<bool> {
+        let lease_ms = to_ms(self.cluster.workers.lease_s);
+        let report_ms = to_ms(self.cluster.workers.report_s);
+        let lagging = self.is_lagging(now);
+        let machine = self
+            .machines
+            .entry(report.machine.clone())
+            .or_insert_with(|| {
+                let kind = (&report.machine_type, &report.zone, report.spot);
+                Machine::new(&report.machine, kind.0, kind.1, kind.2, now)
+            });
+        let was_heard = machine.last_report_at.is_some();
+        let (old_epoch, old_session) = (machine.epoch, machine.session);
+        if !machine.apply_report(report, now) {
+            return None;
+        }
+        self.last_report_at = now;
+        let verifies = origin == ReportOrigin::DirectRequest && machine.unverified;
+        let woke = !was_heard || old_epoch != machine.epoch || verifies;
+        if machine.delete_sent_at.is_some() && machine.return_reason.is_none() {
+            machine.return_reason = Some(ReturnReason::DeletionSent);
+        }
+        let (part, whole) = ANSWERED_LEASE_SHARE;
+        let answered = machine
+            .answered_at
+            .is_some_and(|at| now < at + lease_ms * part / whole);
+        if origin == ReportOrigin::CheckIn {
+            if lagging {
+                // Our answer may have come too late to be taken.
+                machine.sent_answer = None;
+            } else {
+                machine.check_effects(report);
+                let new_session = was_heard && machine.session > old_session;
+                machine.unverified |= new_session && answered;
+            }
+        }
+        machine.unverified &= !verifies;
+        if origin == ReportOrigin::CheckIn {
+            machine.checked_in_at = Some(now);
+            // What hears no answer for a lease begins a new session.
+            machine.end_old_suspicion(lease_ms + report_ms, now);
+        }
+        Some(woke)
+    }
+
+    /// Takes in what a report says of a task on record.
+    fn apply_task(
+        &mut self,
+        recorded: &RecordedTask,
+        report: &Report,
+        origin: ReportOrigin,
+        may_start: bool,
+        effects: &mut ReportEffects,
+        now: u64,
+    ) {
+        let (id, task) = (&recorded.job, recorded.task);
+        let Some((_, placement)) = self.placement_of(recorded) else {
+            return;
+        };
+        if overtakes_second_start(placement, report, origin) {
+            return;
+        }
+        match self.finding(recorded, placement, report, origin) {
+            Finding::Present(TaskPhase::Exited(cause)) => {
+                let timed_out = cause == ExitCause::GangTimeout;
+                if timed_out && may_start && self.is_gathering(id, now) {
+                    // The image of another took longer than it may wait. The
+                    // answer clears it, then starts it anew: the attempt is
+                    // the same, as the protocol has it for replacements.
+                    self.restart_in_place(id, task);
+                } else {
+                    effects.freed_room = true;
+                    self.on_exit(id, task, &report.machine, cause, now);
+                }
+            }
+            Finding::Present(phase) => self.update_phase(recorded, report, phase, now),
+            Finding::MayBeStarted => {
+                let direct = matches!(placement.delivery, Some(StartDelivery::Direct { .. }));
+                effects.start_pending |= direct;
+            }
+            Finding::ProvenAbsent => {
+                // It is on record, so it may as well be started: also what
+                // an earlier leader did not come to.
+                let startable = placement.phase.is_none()
+                    && placement.sends < SENDS_MAX
+                    && placement.stop.is_none();
+                let cancelled = self.jobs.get(&**id).is_none_or(|job| job.cancelled);
+                if startable
+                    && may_start
+                    && !cancelled
+                    && self.has_room_for(recorded, &report.machine)
+                {
+                    self.restart_in_place(id, task);
+                } else {
+                    debug!("{} is not on {}", task_name(id, task), report.machine);
+                    effects.freed_room = true;
+                    self.remove_placement(id, task, now);
+                }
+            }
+        }
+    }
+
+    fn finding(
+        &self,
+        recorded: &RecordedTask,
+        placement: &Placement,
+        report: &Report,
+        origin: ReportOrigin,
+    ) -> Finding {
+        let reported = self.machines[&report.machine].reported.iter().find(|t| {
+            t.task == recorded.task && t.attempt == recorded.attempt && *t.job == *recorded.job
+        });
+        match reported {
+            Some(reported) => Finding::Present(reported.phase),
+            None if proves_absence(placement, report, origin) => Finding::ProvenAbsent,
+            None => Finding::MayBeStarted,
+        }
+    }
+
+    fn update_phase(
+        &mut self,
+        recorded: &RecordedTask,
+        report: &Report,
+        phase: TaskPhase,
+        now: u64,
+    ) {
+        let Some(job) = self.jobs.get_mut(&*recorded.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(placement) = job.placement_mut(recorded.task) else {
+            return;
+        };
+        let Some(machine) = self.machines.get_mut(&report.machine) else {
+            return;
+        };
+        if phase == TaskPhase::Running && placement.running_since.is_none() {
+            let name = task_name(&recorded.job, recorded.task);
+            debug!("{name} runs on {}", report.machine);
+            placement.running_since = Some(now);
+            machine.view = None;
+        }
+        let was_fetching = placement.phase.is_none_or(|old| old == TaskPhase::Fetching);
+        placement.phase = Some(phase);
+        if was_fetching && phase != TaskPhase::Fetching {
+            let mut types = self.machine_types.iter();
+            let machine_type = types.find(|t| t.name == report.machine_type);
+            machine.add_image(&spec.image, spec.image_gb, machine_type);
+        }
+    }
+
+    /// Stops orphans and brings what follows from the machine's tasks up to date.
+    fn finish_report(&mut self, name: &Arc<str>, start_pending: bool, woke: bool, now: u64) {
+        let Some(machine) = self.machines.get_mut(&**name) else {
+            return;
+        };
+        // What has no place on record must not be there.
+        let stops: Vec<Command> = machine
+            .orphans()
+            .map(|t| wire::stop_command(task_name(&t.job, t.task), t.attempt, 0.0))
+            .collect();
+        if !start_pending {
+            machine.direct_start_at = None;
+        }
+        machine.update_orphans();
+        machine.update_idle(self.term.epoch, now);
+        self.queue_commands(name.clone(), stops);
+        if woke {
+            self.retry_backed_off();
+        }
+    }
+
+    /// Whether a place on record that is proven empty may still be used. Not if its
+    /// task was stopped to make room, the room was given to another and that recorded,
+    /// and the leader ended before it removed the first: then the machine's room or
+    /// the team's limit is given out twice.
+    fn has_room_for(&self, recorded: &RecordedTask, machine: &str) -> bool {
+        let machine = self.machines.get(machine);
+        let (Some(machine), Some(job)) = (machine, self.jobs.get(&*recorded.job)) else {
+            return false;
+        };
+        let team = &job.spec.team;
+        let limits = self.cluster.teams.iter().find(|t| t.name == *team);
+        let limited = limits.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        self.free_resources(machine).fits(Resources::default())
+            && (!limited || self.team_views()[team].within_limit())
+    }
+
+    /// A task has exited, or was refused.
+    fn on_exit(&mut self, id: &str, task: u32, machine: &str, cause: ExitCause, now: u64) {
+        debug!("{id}/{task} on {machine} exited: {cause:?}");
+        match cause {
+            ExitCause::Done => self.on_task_done(id, task, machine),
+            ExitCause::Error => self.on_task_error(id, task, machine, now),
+            ExitCause::NoRoom | ExitCause::InUse | ExitCause::UnknownTask => {
+                let unit_s = self.cluster.workers.report_s / 4.0;
+                self.rest(id, unit_s, f64::INFINITY, now);
+            }
+            ExitCause::GangTimeout => self.rest(id, 1.0, self.operator.backoff_max_s, now),
+            ExitCause::Stopped { .. } | ExitCause::GangMemberLost => {}
+        }
+        self.remove_placement(id, task, now);
+    }
+
+    fn on_task_done(&mut self, id: &str, task: u32, machine: &str) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        match job.spec.shape {
+            // They complete together: if one is done, all are.
+            Shape::Gang => job.done.fill(job.spec.tasks),
+            Shape::Array => job.done.insert(task),
+            Shape::Service => {}
+        }
+        job.failures = 0;
+        if let Some(machine) = self.machines.get_mut(machine) {
+            machine.failed_jobs.clear();
+        }
+    }
+
+    /// What has failed on several machines, on which nothing else has, and has never run
+    /// is itself to blame: it rests, and machines are not blamed for it. Many tasks that
+    /// fail together count once.
+    fn on_task_error(&mut self, id: &str, task: u32, name: &str, now: u64) {
+        let report_s = self.cluster.workers.report_s;
+        let lease_s = self.cluster.workers.lease_s;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let has_run = has_shown_that_it_runs(job, to_ms(report_s), now);
+        job.avoided_machines.insert(name.into());
+        let is_first = job.avoided_machines.len() == 1;
+        let machine = self.machines.get_mut(name);
+        let machine_at_fault = machine.is_some_and(|machine| {
+            machine.failed_jobs.insert(job.id.clone());
+            let at_fault = is_first || has_run || machine.failed_jobs.len() > 1;
+            if at_fault && machine.return_reason.is_none() {
+                warn!("{name} failed {id}/{task}: it is drained and returned");
+                machine.return_reason = Some(ReturnReason::TaskFailed);
+                machine.view = None;
+            }
+            at_fault
+        });
+        if !machine_at_fault && now >= job.rest_until {
+            job.failures += 1;
+            let doublings = (job.failures - 1).min(REST_DOUBLINGS_MAX);
+            let rest_s = report_s * f64::from(1u32 << doublings);
+            job.rest_until = now + to_ms(rest_s.min(lease_s));
+        }
+    }
+
+    /// A job rests after a refusal, twice as long each time.
+    fn rest(&mut self, id: &str, unit_s: f64, max_s: f64, now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.failures += 1;
+        let doublings = job.failures.min(REFUSED_DOUBLINGS_MAX);
+        let rest_s = (unit_s * f64::from(1u32 << doublings)).min(max_s);
+        job.rest_until = now + to_ms(rest_s);
+    }
+}
+
+/// A second start has the attempt of the first: a report that overtook the answer which
+/// carries it tells of the first one's end.
+fn overtakes_second_start(placement: &Placement, report: &Report, origin: ReportOrigin) -> bool {
+    let Some(StartDelivery::Answer { session, serial }) = placement.delivery else {
+        return false;
+    };
+    let later_checkin = origin == ReportOrigin::CheckIn && report.serial > serial;
+    placement.restarts && report.session == session && !later_checkin
+}
+
+/// Whether a report that lacks a task proves that its place is empty.
+fn proves_absence(placement: &Placement, report: &Report, origin: ReportOrigin) -> bool {
+    if placement.phase.is_some() {
+        return true;
+    }
+    match (placement.change, placement.delivery) {
+        // An earlier leader's start can't be taken any more once the worker
+        // has seen this epoch.
+        (0, None) => !placement.restarts,
+        (_, None) => false,
+        // A start travels in the answer to a check-in, and the next check-in
+        // comes after it was taken or dropped. Other bodies may overtake the
+        // answer.
+        (_, Some(StartDelivery::Answer { session, serial })) => {
+            let later = (report.session, report.serial) > (session, serial);
+            origin == ReportOrigin::CheckIn && later
+        }
+        // One that went straight to the worker may lie in the network until
+        // the session is over.
+        (_, Some(StartDelivery::Direct { session, .. })) => report.session > session,
+    }
+}
+
+/// Whether a job has completed a task, or run for a report interval.
+fn has_shown_that_it_runs(job: &Job, report_ms: u64, now: u64) -> bool {
+    let long_ago = |since: u64| now > since + report_ms;
+    let ran = |p: &Placement| p.running_since.is_some_and(long_ago);
+    !job.done.is_empty() || job.placements.iter().any(ran)
+}
