--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -9,28 +9,34 @@
 
 use ciborium::Value;
 use common::{kept, submission, Low, Sim, Writes};
-use gaugesill::control::{Control, Seat};
-use gaugesill::deps::{Deps, Known, Then};
-use gaugesill::job::{Final, Record, Run, Spec, Urgency};
-use gaugesill::settings::Operator;
-use gaugesill::store::{Live, Picture};
+use gaugesill::dependencies::{DependencyEvent, DependencyGraph, DependencyState};
+use gaugesill::job::{FinalState, JobRecord, JobSpec, Priority, TaskRun};
+use gaugesill::replica::{LiveJob, Replica};
+use gaugesill::scheduler::{ReportOrigin, Scheduler, Term};
+use gaugesill::settings::OperatorSettings;
 use gaugesill::wire;
 
 /// A submission that names others.
-fn needing(mut v: Value, needs: &[&str]) -> Value {
+fn needing(mut v: Value, dependencies: &[&str]) -> Value {
     if let Value::Map(m) = &mut v {
-        let list = needs.iter().map(|n| Value::Text((*n).into())).collect();
+        let list = dependencies
+            .iter()
+            .map(|n| Value::Text((*n).into()))
+            .collect();
         m.push((Value::Text("waitsOn".into()), Value::Array(list)));
     }
     v
 }
 
-fn array(id: &str, tasks: u32, needs: &[&str]) -> Value {
-    needing(submission(id, "sweep", tasks, 2.0, "best_effort"), needs)
+fn array(id: &str, tasks: u32, dependencies: &[&str]) -> Value {
+    needing(
+        submission(id, "sweep", tasks, 2.0, "best_effort"),
+        dependencies,
+    )
 }
 
-fn gang(id: &str, tasks: u32, needs: &[&str]) -> Value {
-    needing(submission(id, "group", tasks, 2.0, "normal"), needs)
+fn gang(id: &str, tasks: u32, dependencies: &[&str]) -> Value {
+    needing(submission(id, "group", tasks, 2.0, "normal"), dependencies)
 }
 
 const SPLIT: &str = "run-000001";
@@ -67,12 +73,12 @@
 }
 
 /// The same answer everywhere.
-fn everywhere(s: &mut Sim, id: &str, want: &str) {
+fn everywhere(s: &mut Sim, id: &str, pending: &str) {
     for n in 0..3 {
         let got = status(s, n, id);
         assert_eq!(
             got,
-            Some((200, want.into())),
+            Some((200, pending.into())),
             "{id} on c{n}\n{}",
             s.trace.join("\n")
         );
@@ -162,7 +168,7 @@
         let slot = s.submit(0, &v, 500);
         assert!(s.until(1000, |s| s.answer(slot).is_some()));
         assert_eq!(s.answer(slot), Some((201, "pending".into())));
-        assert!(s.jobs[id].needs.is_empty());
+        assert!(s.jobs[id].dependencies.is_empty());
     }
     // Another controller has accepted it a millisecond ago.
     let first = s.submit(1, &array(SPLIT, 1, &[]), 2000);
@@ -170,7 +176,11 @@
     let second = s.submit(2, &array(MATCH[0], 1, &[SPLIT, SPLIT]), 2000);
     assert!(s.until(1000, |s| s.answer(second).is_some()));
     assert_eq!(s.answer(second), Some((201, "pending".into())));
-    assert_eq!(s.jobs[MATCH[0]].needs.len(), 1, "named twice counts once");
+    assert_eq!(
+        s.jobs[MATCH[0]].dependencies.len(),
+        1,
+        "named twice counts once"
+    );
     s.finish(60_000);
     // Long over, and a controller that has just begun: looked up, without having read
     // all that is over.
@@ -236,7 +246,7 @@
             1 => (MATCH[0], &[SCORE, REPORT]),
             _ => (SCORE, &[REPORT]),
         };
-        let told = s.called_off(id);
+        let told = s.cancel_until_answered(id);
         for x in after {
             if told == "withdrawn" {
                 everywhere(&mut s, x, "withdrawn");
@@ -319,7 +329,7 @@
             s.run(60);
         }
         s.run(400);
-        assert_eq!(s.called_off("run-000100"), "withdrawn");
+        assert_eq!(s.cancel_until_answered("run-000100"), "withdrawn");
         s.run(35 * k);
         // Half the time the limits fall while the cancellation spreads.
         let low = Low {
@@ -372,47 +382,52 @@
     s.assert_sound();
 }
 
-fn spec(needs: &[&str], urgency: Urgency, expected_s: f64, due_s: Option<f64>) -> Spec {
+fn spec(
+    dependencies: &[&str],
+    priority: Priority,
+    expected_s: f64,
+    deadline_s: Option<f64>,
+) -> JobSpec {
     let body = wire::encode(&array("run-000000", 1, &[]));
-    let (_, spec) = wire::submission(&body).expect("a good one");
-    Spec {
+    let (_, spec) = wire::parse_submission(&body).expect("a good one");
+    JobSpec {
         cpus: 1.0,
-        urgency,
+        priority,
         expected_s,
-        due_s,
-        needs: needs.iter().map(|n| (*n).to_string()).collect(),
+        deadline_s,
+        dependencies: dependencies.iter().map(|n| (*n).to_string()).collect(),
         ..spec
     }
 }
 
-fn control() -> Control {
+fn control() -> Scheduler {
     let text = r#"{"teams":[{"name":"t"}],"workers":{"report_s":3.0,"lease_s":36.0,
         "gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0},
         "state":{"rps":9.0,"write_rps":9.0,"value_kb":16.0,"txn_ops":20},
         "cloud":{"rps":9.0,"list_lag_s":1.0},
         "limits":{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}}"#;
-    Control::new(
-        Seat {
+    Scheduler::new(
+        Term {
             member: "c0".into(),
             epoch: 2,
-            key: gaugesill::store::LEADER,
-            stamp: 3,
-            wall: 1_000_000,
+            key: gaugesill::replica::LEADER_KEY,
+            key_version: 3,
+            began_wall_ms: 1_000_000,
         },
         &serde_json::from_str(text).expect("settings"),
-        &Operator::default(),
+        &OperatorSettings::default(),
         Arc::new(vec![]),
-        &Picture::default(),
+        &Replica::default(),
         1000,
     )
 }
 
-fn see(c: &mut Control, id: &str, spec: Spec) {
-    let live = Live {
-        record: Arc::new(Record::new(spec, 1_000_000)),
-        stamp: 1,
+fn see(c: &mut Scheduler, id: &str, spec: JobSpec) {
+    let live = LiveJob {
+        record: Arc::new(JobRecord::new(spec, 1_000_000)),
+        version: 1,
     };
-    c.job_seen(id, &live, 1000);
+    c.apply_record(id, &live, 1000);
 }
 
 /// The urgency and the deadline of a chain's last job order all before it, less the work
@@ -420,13 +435,13 @@
 /// late. Their records keep what their users asked for.
 #[test]
 fn the_critical_path_orders_what_it_needs() {
-    let low = |needs: &[&str], s| spec(needs, Urgency::Low, s, None);
+    let low = |dependencies: &[&str], s| spec(dependencies, Priority::Low, s, None);
     let chain = [
         ("run-1", low(&[], 15.0)),
         ("run-2", low(&["run-1"], 25.0)),
         ("run-3", low(&["run-1"], 90.0)),
         ("run-4", low(&["run-2", "run-3"], 20.0)),
-        ("run-5", spec(&["run-4"], Urgency::High, 8.0, Some(300.0))),
+        ("run-5", spec(&["run-4"], Priority::High, 8.0, Some(300.0))),
     ];
     for order in [[0, 1, 2, 3, 4], [4, 3, 2, 1, 0], [2, 4, 0, 3, 1]] {
         let mut c = control();
@@ -437,18 +452,18 @@
         // run-5 is due at 1300, so run-4 by 1292, run-3 by 1272, run-1 by 1182.
         let s = c.snapshot(1000, 1_000_000);
         assert_eq!(s.jobs.len(), 1, "the others wait");
-        assert_eq!(s.teams["t"].ask_cpus, 1.0, "and ask for nothing");
+        assert_eq!(s.teams["t"].cpus_demanded, 1.0, "and ask for nothing");
         assert_eq!(&*s.jobs[0].id, "run-1");
-        assert_eq!(s.jobs[0].spec.urgency, Urgency::High);
-        assert_eq!(s.jobs[0].start_by, Some(1182.0 - 15.0));
-        c.needs_met("run-2", 1_050_000);
-        c.needs_met("run-3", 1_050_000);
+        assert_eq!(s.jobs[0].spec.priority, Priority::High);
+        assert_eq!(s.jobs[0].start_by_s, Some(1182.0 - 15.0));
+        c.dependencies_done("run-2", 1_050_000);
+        c.dependencies_done("run-3", 1_050_000);
         let s = c.snapshot(2000, 1_060_000);
         let by = |id: &str| {
             s.jobs
                 .iter()
                 .find(|j| *j.id == *id)
-                .and_then(|j| j.start_by)
+                .and_then(|j| j.start_by_s)
         };
         assert_eq!(by("run-2"), Some(1272.0 - 25.0));
         assert_eq!(by("run-3"), Some(1272.0 - 90.0));
@@ -458,10 +473,10 @@
     for (id, spec) in &chain {
         see(&mut c, id, spec.clone());
     }
-    c.called_off("run-1", 1500);
+    c.mark_cancelled("run-1", 1500);
     c.tick(9000, 5, 9);
     let rewritten = c.take_effects().into_iter().find_map(|e| match e {
-        gaugesill::control::Effect::Write { job, writes, .. } if job == "run-1" => Some(writes),
+        gaugesill::scheduler::Effect::Write { job, writes, .. } if job == "run-1" => Some(writes),
         _ => None,
     });
     assert!(rewritten.is_some());
@@ -471,47 +486,47 @@
 #[test]
 fn a_lifted_job_keeps_its_own_urgency_on_record() {
     let mut c = control();
-    let mut record = Record::new(spec(&[], Urgency::Low, 15.0, None), 1_000_000);
-    record.runs = vec![Run(0, 1, 1, "m-0".into())];
+    let mut record = JobRecord::new(spec(&[], Priority::Low, 15.0, None), 1_000_000);
+    record.runs = vec![TaskRun::single(0, 1, "m-0")];
     record.spec.tasks = 2;
-    record.next = 2;
-    let live = Live {
+    record.next_attempt = 2;
+    let live = LiveJob {
         record: Arc::new(record),
-        stamp: 1,
+        version: 1,
     };
-    c.job_seen("run-1", &live, 1000);
+    c.apply_record("run-1", &live, 1000);
     see(
         &mut c,
         "run-2",
-        spec(&["run-1"], Urgency::High, 8.0, Some(60.0)),
+        spec(&["run-1"], Priority::High, 8.0, Some(60.0)),
     );
-    assert_eq!(c.jobs["run-1"].spec.urgency, Urgency::High);
+    assert_eq!(c.jobs["run-1"].spec.priority, Priority::High);
     let r = wire::Report {
-        host: "m-0".into(),
+        machine: "m-0".into(),
         endpoint: "10.1.0.1:9000".into(),
-        flavor: "f8".into(),
-        hall: "a".into(),
-        loaner: false,
-        tenure: 1,
+        machine_type: "f8".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
         serial: 1,
         epoch: 2,
-        notice_s: None,
-        pieces: vec![wire::Piece {
-            piece: "run-1/0".into(),
+        reclaim_in_s: None,
+        tasks: vec![wire::TaskReport {
+            task: "run-1/0".into(),
             attempt: 1,
             status: "ended".into(),
             cause: Some("done".into()),
             kept: None,
         }],
     };
-    c.report(&r, true, 2000);
+    c.on_report(&r, ReportOrigin::CheckIn, 2000);
     c.tick(9000, 5, 9);
     let written = c.take_effects().into_iter().find_map(|e| match e {
-        gaugesill::control::Effect::Write { writes, .. } => writes[0].data.clone(),
+        gaugesill::scheduler::Effect::Write { writes, .. } => writes[0].value.clone(),
         _ => None,
     });
-    let record = Record::from_value(&written.expect("a change")).expect("a record");
-    assert_eq!(record.spec.urgency, Urgency::Low);
+    let record = JobRecord::from_value(&written.expect("a change")).expect("a record");
+    assert_eq!(record.spec.priority, Priority::Low);
     assert!(record.done.contains(0));
 }
 
@@ -520,73 +535,95 @@
 #[test]
 fn deep_chains_and_wide_fans() {
     let name = |n: usize| format!("run-{n:06}");
-    let mut d = Deps::default();
+    let mut d = DependencyGraph::default();
     let mut then = Vec::new();
     let n = 20_000;
     for i in 0..n {
-        let needs: Vec<String> = if i == 0 { vec![] } else { vec![name(i - 1)] };
-        d.add(&name(i), &needs, |_| Known::Live(false), &mut then);
+        let dependencies: Vec<String> = if i == 0 { vec![] } else { vec![name(i - 1)] };
+        d.add(
+            &name(i),
+            &dependencies,
+            |_| DependencyState::Live { cancelled: false },
+            &mut then,
+        );
         let fan = format!("run-9{i:06}");
-        d.add(&fan, &[name(0)], |_| Known::Live(false), &mut then);
+        d.add(
+            &fan,
+            &[name(0)],
+            |_| DependencyState::Live { cancelled: false },
+            &mut then,
+        );
     }
     assert!(then.is_empty());
-    assert!(!d.unsure(&name(n - 1)));
-    d.cancelled(&name(0), &mut then);
+    assert!(!d.has_unresolved(&name(n - 1)));
+    d.on_cancelled(&name(0), &mut then);
     assert_eq!(then.len(), 2 * n - 1);
-    assert!(d.has_fallen(&name(n - 1)));
+    assert!(d.is_cancelled(&name(n - 1)));
     // The same again tells nothing new.
     then.clear();
-    d.cancelled(&name(0), &mut then);
+    d.on_cancelled(&name(0), &mut then);
     assert!(then.is_empty());
     // One that names a fallen one falls.
-    d.add("run-7", &[name(n - 1)], |_| Known::Live(false), &mut then);
-    assert_eq!(then, [Then::Fallen("run-7".into())]);
+    d.add(
+        "run-7",
+        &[name(n - 1)],
+        |_| DependencyState::Live { cancelled: false },
+        &mut then,
+    );
+    assert_eq!(then, [DependencyEvent::Cancelled("run-7".into())]);
 }
 
 /// What a live job needs and nobody remembers is looked up; until then nothing is told of
 /// those that hang on it, and they wait.
 #[test]
 fn ends_that_nobody_remembers() {
-    let mut d = Deps::default();
+    let mut d = DependencyGraph::default();
     let mut then = Vec::new();
     let known = |n: &str| match n {
-        "run-1" => Known::Unknown,
-        _ => Known::Live(false),
+        "run-1" => DependencyState::Unknown,
+        _ => DependencyState::Live { cancelled: false },
     };
     d.add("run-2", &["run-1".into()], known, &mut then);
     d.add("run-3", &["run-2".into()], known, &mut then);
     d.add("run-4", &[], known, &mut then);
-    assert_eq!(d.unknown().iter().collect::<Vec<_>>(), ["run-1"]);
-    assert!(d.unsure("run-2") && d.unsure("run-3") && !d.unsure("run-4"));
-    d.done("run-1", &mut then);
-    assert_eq!(then, [Then::Ready("run-2".into())]);
-    assert!(!d.unsure("run-3") && d.waits("run-3") && !d.waits("run-2"));
+    assert_eq!(d.unresolved().iter().collect::<Vec<_>>(), ["run-1"]);
+    assert!(d.has_unresolved("run-2") && d.has_unresolved("run-3") && !d.has_unresolved("run-4"));
+    d.on_done("run-1", &mut then);
+    assert_eq!(then, [DependencyEvent::Ready("run-2".into())]);
+    assert!(!d.has_unresolved("run-3") && d.is_waiting("run-3") && !d.is_waiting("run-2"));
     // Seen before what it needs, as a read in the order of names may have it.
     then.clear();
-    d.add("run-5", &["run-6".into()], |_| Known::Unknown, &mut then);
+    d.add(
+        "run-5",
+        &["run-6".into()],
+        |_| DependencyState::Unknown,
+        &mut then,
+    );
     d.add("run-6", &[], known, &mut then);
-    assert!(!d.unsure("run-5") && d.waits("run-5"));
-    d.cancelled("run-6", &mut then);
-    assert_eq!(then, [Then::Fallen("run-5".into())]);
+    assert!(!d.has_unresolved("run-5") && d.is_waiting("run-5"));
+    d.on_cancelled("run-6", &mut then);
+    assert_eq!(then, [DependencyEvent::Cancelled("run-5".into())]);
     d.remove("run-5");
     d.remove("run-6");
-    assert!(!d.has_fallen("run-5"));
+    assert!(!d.is_cancelled("run-5"));
 }
 
 /// Finals are kept as ever: one that is withdrawn long after is still found, and told of
 /// those that named it.
 #[test]
 fn the_picture_tells_what_follows() {
-    let mut p = Picture::default();
-    p.rev = 1;
-    let set = |key: &str, data: Value, stamp| wire::Change {
+    let mut p = Replica::default();
+    p.revision = 1;
+    let set = |key: &str, value: Value, version| wire::KeyChange {
         set: Some(key.into()),
-        data: Some(data),
-        drop: None,
-        stamp,
+        value: Some(value),
+        delete: None,
+        version,
+    };
+    let job = |dependencies: &[&str]| {
+        JobRecord::new(spec(dependencies, Priority::Low, 9.0, None), 7).to_value(1)
     };
-    let job = |needs: &[&str]| Record::new(spec(needs, Urgency::Low, 9.0, None), 7).to_value(1);
-    p.news(
+    p.apply_changes(
         3,
         1,
         &[
@@ -594,16 +631,19 @@
             set("g/j/run-3", job(&["run-2"]), 3),
         ],
     );
-    assert!(p.deps.unsure("run-3"));
-    p.ended("run-1", Final::Withdrawn);
+    assert!(p.dependencies.has_unresolved("run-3"));
+    p.record_final("run-1", FinalState::Cancelled);
     assert_eq!(
-        p.take_then(),
-        [Then::Fallen("run-2".into()), Then::Fallen("run-3".into())]
+        p.take_dependency_events(),
+        [
+            DependencyEvent::Cancelled("run-2".into()),
+            DependencyEvent::Cancelled("run-3".into())
+        ]
     );
-    assert!(p.called_off("run-3") && !p.deps.unsure("run-3"));
+    assert!(p.is_cancelled("run-3") && !p.dependencies.has_unresolved("run-3"));
     assert_eq!(
-        p.known("run-2"),
-        Known::Live(false),
+        p.dependency_state("run-2"),
+        DependencyState::Live { cancelled: false },
         "its own record says nothing yet"
     );
 }
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use common::{submission, Cloud, Served, StateService};
-use gaugesill::net::{Bounds, Event, Net, Outcome};
-use gaugesill::wire::{self, Orders, Piece, Report};
+use gaugesill::net::{ConnectionLimits, Event, EventLoop, Outcome};
+use gaugesill::wire::{self, CommandBatch, Report, TaskReport};
 
 struct World {
     state: StateService,
@@ -89,14 +89,14 @@
         w.state.handle(method, path, body, t)
     };
     match served {
-        Served::Now(status, body) => (status, body),
+        Served::Timestamp(status, body) => (status, body),
         Served::Wait(under, from, until) => loop {
             std::thread::sleep(Duration::from_millis(5));
             let mut w = w.lock().expect("lock");
             let t = now(&w);
             w.state.expire(t);
-            let n = w.state.news(&under, from);
-            if !n.news.is_empty() || t >= until {
+            let n = w.state.changes(&under, from);
+            if !n.changes.is_empty() || t >= until {
                 return (200, wire::encode(&n));
             }
         },
@@ -123,34 +123,35 @@
 }
 
 /// One machine's worker; tasks take 300 ms.
-fn worker(world: Shared, host: String, fronts: Vec<SocketAddr>) {
+fn worker(world: Shared, machine: String, fronts: Vec<SocketAddr>) {
     let mut serial = 0;
     let mut epoch = 0;
     let mut to = 0;
     let mut tasks: Vec<(String, u64, Instant)> = Vec::new();
     loop {
-        let (flavor, hall, spot) = match world.lock().expect("lock").cloud.machines.get(&host) {
-            Some(m) => (m.flavor.clone(), m.hall.clone(), m.spot),
-            None => return,
-        };
+        let (machine_type, zone, spot) =
+            match world.lock().expect("lock").cloud.machines.get(&machine) {
+                Some(m) => (m.machine_type.clone(), m.zone.clone(), m.spot),
+                None => return,
+            };
         serial += 1;
         let over = Duration::from_millis(300);
         let r = Report {
-            host: host.clone(),
+            machine: machine.clone(),
             endpoint: "127.0.0.1:1".into(),
-            flavor,
-            hall,
-            loaner: spot,
-            tenure: 1,
+            machine_type,
+            zone,
+            spot,
+            session: 1,
             serial,
             epoch,
-            notice_s: None,
-            pieces: tasks
+            reclaim_in_s: None,
+            tasks: tasks
                 .iter()
                 .map(|t| {
                     let done = t.2.elapsed() > over;
-                    Piece {
-                        piece: t.0.clone(),
+                    TaskReport {
+                        task: t.0.clone(),
                         attempt: t.1,
                         status: if done { "ended" } else { "running" }.into(),
                         cause: done.then(|| "done".into()),
@@ -161,25 +162,25 @@
         };
         match call(fronts[to], "POST", "/checkin", &wire::encode(&r)) {
             Some((200, body)) => {
-                let o: Orders = wire::decode(&body).expect("orders");
+                let o: CommandBatch = wire::decode(&body).expect("orders");
                 if o.epoch >= epoch {
                     epoch = o.epoch;
-                    for c in o.orders {
+                    for c in o.commands {
                         match c.verb.as_str() {
                             "start" => {
-                                if !tasks.iter().any(|t| t.0 == c.piece && t.1 == c.attempt) {
+                                if !tasks.iter().any(|t| t.0 == c.task && t.1 == c.attempt) {
                                     let mut w = world.lock().expect("lock");
-                                    *w.starts.entry(c.piece.clone()).or_insert(0) += 1;
-                                    tasks.push((c.piece, c.attempt, Instant::now()));
+                                    *w.starts.entry(c.task.clone()).or_insert(0) += 1;
+                                    tasks.push((c.task, c.attempt, Instant::now()));
                                 }
                             }
-                            _ => tasks.retain(|t| t.0 != c.piece || t.1 != c.attempt),
+                            _ => tasks.retain(|t| t.0 != c.task || t.1 != c.attempt),
                         }
                     }
                 }
             }
             Some((421, body)) => {
-                let e: Option<wire::Elsewhere> = wire::decode(&body);
+                let e: Option<wire::Redirect> = wire::decode(&body);
                 to = e
                     .and_then(|e| e.reports_to)
                     .and_then(|m| m[1..].parse().ok())
@@ -350,7 +351,7 @@
         let lease = w.state.keys.get("g/l/lease");
         let lease = lease.or(w.state.keys.get("g/l/leader"));
         let v = lease.expect("a leader").0.clone();
-        let k: gaugesill::store::LeaderKey = v.deserialized().expect("a leader key");
+        let k: gaugesill::replica::LeaderKey = v.deserialized().expect("a leader key");
         k.member[1..].parse::<usize>().expect("a number")
     };
     let _ = nodes.0[leader].kill();
@@ -385,12 +386,12 @@
     // Accept nothing: calls to them stay in progress.
     let dead = TcpListener::bind(any).expect("a port");
     let vital = TcpListener::bind(any).expect("a port");
-    let bounds = Bounds {
+    let bounds = ConnectionLimits {
         fd_limit: 32,
         vital: HashSet::from([vital.local_addr().expect("an address")]),
         worker_idle: Duration::from_secs(3600),
     };
-    let mut net = Net::new(front, any, bounds).expect("it listens");
+    let mut net = EventLoop::new(front, any, bounds).expect("it listens");
     let mut serve = |socks: &mut [TcpStream], path: &str| {
         for s in socks.iter_mut() {
             let text = format!("POST {path} HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
@@ -402,8 +403,8 @@
             turns += 1;
             assert!(turns < 4000, "{left} requests are never read");
             for ev in net.turn(Duration::from_millis(5)).expect("a turn") {
-                if let Event::Request { conn, .. } = ev {
-                    net.answer(conn, 200, None, &[]);
+                if let Event::Request { connection, .. } = ev {
+                    net.answer(connection, 200, None, &[]);
                     left -= 1;
                 }
             }
@@ -431,7 +432,7 @@
     net.call(99, to, "GET", "/kv", &[], Duration::from_secs(60));
     for ev in net.turn(Duration::ZERO).expect("a turn") {
         if let Event::Reply { tag, outcome } = ev {
-            assert_eq!(outcome, Outcome::Unsent);
+            assert_eq!(outcome, Outcome::NotSent);
             assert_ne!(tag, 99);
             unsent += 1;
         }
@@ -447,12 +448,12 @@
 fn a_turn_is_bounded_and_421_hangs_up() {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
-    let bounds = Bounds {
+    let bounds = ConnectionLimits {
         fd_limit: 400,
         vital: HashSet::new(),
         worker_idle: Duration::from_secs(3600),
     };
-    let mut net = Net::new(front, any, bounds).expect("it listens");
+    let mut net = EventLoop::new(front, any, bounds).expect("it listens");
     let mut socks: Vec<TcpStream> = (0..60)
         .map(|_| TcpStream::connect(front).expect("a connection"))
         .collect();
@@ -467,8 +468,8 @@
         let events = net.turn(Duration::from_millis(5)).expect("a turn");
         assert!(events.len() <= 24, "{} at once", events.len());
         for ev in events {
-            if let Event::Request { conn, .. } = ev {
-                net.answer(conn, 421, None, &[]);
+            if let Event::Request { connection, .. } = ev {
+                net.answer(connection, 421, None, &[]);
                 left -= 1;
             }
         }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -7,15 +7,15 @@
 
 use ciborium::Value;
 use common::{kept, submission, Low, OldRecord, Sim};
-use gaugesill::control::{Control, Effect, Seat};
-use gaugesill::job::{json_len, Final, Ranges, Record, Run, Shape};
-use gaugesill::mesh::{Hand, Handed, Status};
-use gaugesill::packed;
-use gaugesill::plan::{Decision, Place};
-use gaugesill::settings::{Cluster, Operator, Settings};
-use gaugesill::state::Commit;
-use gaugesill::store::{LeaderKey, Live, Picture};
-use gaugesill::wire::{self, Change};
+use gaugesill::job::{json_length, FinalState, JobRecord, Shape, TaskRun, TaskSet};
+use gaugesill::mesh::{ForwardedReply, ForwardedRequest, PeerStatus};
+use gaugesill::packed_record;
+use gaugesill::plan::{Decision, PlannedPlacement};
+use gaugesill::replica::{LeaderKey, LiveJob, Replica};
+use gaugesill::scheduler::{Effect, ReportOrigin, Scheduler, Term};
+use gaugesill::settings::{ClusterSettings, OperatorSettings, Settings};
+use gaugesill::wire::{self, KeyChange};
+use gaugesill::write_queue::CommitResult;
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -50,20 +50,23 @@
     for name in ["fresh", "array", "gang", "cancelled"] {
         let (readable, bytes) = fixture(&format!("record {name}"));
         let v: Value = wire::decode(&bytes).expect("a value");
-        let r = Record::from_value(&v).expect("a record");
+        let r = JobRecord::from_value(&v).expect("a record");
         assert_eq!(serde_json::to_string(&r).expect("text"), readable);
         assert_eq!(wire::encode(&r.to_value(0)), bytes, "{name}");
-        assert!(r.spec.needs.is_empty());
+        assert!(r.spec.dependencies.is_empty());
         // Packed, it says the same, and that version can't take it for an empty one.
         let p = r.to_value(1);
-        assert_eq!(Record::from_value(&p).as_ref(), Some(&r));
+        assert_eq!(JobRecord::from_value(&p).as_ref(), Some(&r));
         assert!(p.deserialized::<OldRecord>().is_err());
     }
-    for (name, f) in [("done", Final::Done), ("withdrawn", Final::Withdrawn)] {
+    for (name, f) in [
+        ("done", FinalState::Done),
+        ("withdrawn", FinalState::Cancelled),
+    ] {
         let (_, bytes) = fixture(&format!("final {name}"));
         assert_eq!(wire::encode(&f.to_value()), bytes);
         let v: Value = wire::decode(&bytes).expect("a value");
-        assert_eq!(Final::from_value(&v), Some(f));
+        assert_eq!(FinalState::from_value(&v), Some(f));
     }
     let (_, bytes) = fixture("leader");
     let l: LeaderKey = wire::decode(&bytes).expect("a key");
@@ -71,37 +74,55 @@
     assert_eq!(wire::encode(&l), bytes);
 }
 
+/// The fixtures' readable form has the names that the fields had in that version.
 #[test]
 fn messages_of_the_version_in_production() {
     let (readable, bytes) = fixture("status");
-    let s = Status::decode(bytes.as_slice()).expect("a status");
+    let status = PeerStatus::decode(bytes.as_slice()).expect("a status");
+    let in_old_names = format!(
+        "Status {{ member: {:?}, served: {}, leads: {}, turned_away: {}, age_ms: {}, withdrawn: {:?} }}",
+        status.member,
+        status.state_reachable,
+        status.leading_epoch,
+        status.redirected_workers,
+        status.process_age_ms,
+        status.told_cancelled
+    );
+    assert_eq!(in_old_names, readable);
     // The field that has come since is at its default, and not written then.
-    assert_eq!(s.knows_format, 0);
-    assert_eq!(format!("{s:?}").replace(", knows_format: 0", ""), readable);
-    assert_eq!(s.encode_to_vec(), bytes);
+    assert_eq!(status.known_format, 0);
+    assert_eq!(status.encode_to_vec(), bytes);
     let (readable, bytes) = fixture("hand");
-    let h = Hand::decode(bytes.as_slice()).expect("a request");
-    assert_eq!(format!("{h:?}"), readable);
-    assert_eq!(h.encode_to_vec(), bytes);
+    let request = ForwardedRequest::decode(bytes.as_slice()).expect("a request");
+    let in_old_names = format!(
+        "Hand {{ method: {:?}, path: {:?}, body: {:?} }}",
+        request.method, request.path, request.body
+    );
+    assert_eq!(in_old_names, readable);
+    assert_eq!(request.encode_to_vec(), bytes);
     let (readable, bytes) = fixture("handed");
-    let h = Handed::decode(bytes.as_slice()).expect("an answer");
-    assert_eq!(format!("{h:?}"), readable);
-    assert_eq!(h.encode_to_vec(), bytes);
+    let reply = ForwardedReply::decode(bytes.as_slice()).expect("an answer");
+    let in_old_names = format!(
+        "Handed {{ status: {}, retry_after: {:?}, body: {:?} }}",
+        reply.status, reply.retry_after, reply.body
+    );
+    assert_eq!(in_old_names, readable);
+    assert_eq!(reply.encode_to_vec(), bytes);
 }
 
 /// Keys that tell of versions lie where the one before passes over them: it looks at
 /// `g/j/`, `g/f/`, `g/l/leader` and `g/l/epoch`, and at nothing else below `g/`.
 #[test]
 fn version_keys_change_nothing_else() {
-    let mut p = Picture::default();
-    p.rev = 1;
-    let set = |key: &str, n: u64, stamp| Change {
+    let mut p = Replica::default();
+    p.revision = 1;
+    let set = |key: &str, n: u64, version| KeyChange {
         set: Some(key.into()),
-        data: Some(Value::Integer(n.into())),
-        drop: None,
-        stamp,
+        value: Some(Value::Integer(n.into())),
+        delete: None,
+        version,
     };
-    let seen = p.news(
+    let seen = p.apply_changes(
         4,
         1,
         &[
@@ -114,7 +135,7 @@
     assert_eq!((p.format, p.epoch), (1, 7));
     assert!(p.members.contains("worker-1") && p.jobs.is_empty() && p.leader().is_none());
     // It never goes down.
-    p.news(5, 4, &[set("g/l/format", 0, 5)]);
+    p.apply_changes(5, 4, &[set("g/l/format", 0, 5)]);
     assert_eq!(p.format, 1);
 }
 
@@ -125,24 +146,34 @@
     let mut rng = StdRng::seed_from_u64(5);
     for round in 0..400 {
         let tasks = rng.random_range(1..300u32);
-        let mut done = Ranges::default();
-        let mut runs: Vec<Run> = Vec::new();
+        let mut done = TaskSet::default();
+        let mut runs: Vec<TaskRun> = Vec::new();
         for t in 0..tasks {
             match rng.random_range(0..4) {
                 0 => done.insert(t),
                 1 => {}
                 _ => {
-                    let host = format!("m-{:06}", rng.random_range(0..1 + round % 40));
+                    let machine = format!("m-{:06}", rng.random_range(0..1 + round % 40));
                     let attempt = rng.random_range(1..4);
                     match runs.last_mut() {
-                        Some(r) if r.0 + r.1 == t && r.2 == attempt && r.3 == host => r.1 += 1,
-                        _ => runs.push(Run(t, 1, attempt, host)),
+                        Some(r)
+                            if r.first + r.count == t
+                                && r.attempt == attempt
+                                && r.machine == machine =>
+                        {
+                            r.count += 1
+                        }
+                        _ => runs.push(TaskRun::single(t, attempt, machine)),
                     }
                 }
             }
         }
-        let text = packed::pack(tasks, &done, &runs).expect("names that suit");
-        assert_eq!(packed::unpack(tasks, &text), Some((done, runs)), "{text}");
+        let text = packed_record::pack(tasks, &done, &runs).expect("names that suit");
+        assert_eq!(
+            packed_record::unpack(tasks, &text),
+            Some((done, runs)),
+            "{text}"
+        );
     }
     for (tasks, text) in [
         (3, "|m-|1*4"),
@@ -152,13 +183,17 @@
         (3, "0 1"),
         (9, "|m-|>4 1 >2 1"),
     ] {
-        assert_eq!(packed::unpack(tasks, text), None, "{text}");
+        assert_eq!(packed_record::unpack(tasks, text), None, "{text}");
     }
-    let odd = [Run(0, 1, 1, "m 1".into())];
-    assert_eq!(packed::pack(2, &Ranges::default(), &odd), None);
-    let both = Ranges(vec![(0, 0)]);
-    let runs = [Run(0, 1, 1, "m-1".into())];
-    assert_eq!(packed::pack(2, &both, &runs), None, "done and placed");
+    let odd = [TaskRun::single(0, 1, "m 1")];
+    assert_eq!(packed_record::pack(2, &TaskSet::default(), &odd), None);
+    let both = TaskSet(vec![(0, 0)]);
+    let runs = [TaskRun::single(0, 1, "m-1")];
+    assert_eq!(
+        packed_record::pack(2, &both, &runs),
+        None,
+        "done and placed"
+    );
 }
 
 /// How much fits into 2 KB: a gang of 32 on machines of its own, and an array of 240 tasks
@@ -167,26 +202,29 @@
 fn what_fits_into_two_kilobytes() {
     let (_, bytes) = fixture("record array");
     let v: Value = wire::decode(&bytes).expect("a value");
-    let mut r = Record::from_value(&v).expect("a record");
-    let spread = |n: u32| -> Vec<Run> {
-        let host = |t: u32| format!("m-{:06}", (t * 37) % 1700);
-        (0..n).map(|t| Run(t, 1, 1, host(t))).collect()
+    let mut r = JobRecord::from_value(&v).expect("a record");
+    let spread = |n: u32| -> Vec<TaskRun> {
+        let machine = |t: u32| format!("m-{:06}", (t * 37) % 1700);
+        (0..n).map(|t| TaskRun::single(t, 1, machine(t))).collect()
     };
-    r.done = Ranges::default();
+    r.done = TaskSet::default();
     r.spec.shape = Shape::Gang;
     r.spec.tasks = 32;
     r.runs = spread(32);
-    assert!(json_len(&r.to_value(0)) < 2048, "a gang fits even unpacked");
-    assert!(json_len(&r.to_value(1)) < 800);
+    assert!(
+        json_length(&r.to_value(0)) < 2048,
+        "a gang fits even unpacked"
+    );
+    assert!(json_length(&r.to_value(1)) < 800);
     r.spec.shape = Shape::Array;
     r.spec.tasks = 240;
     r.runs = spread(240);
-    assert!(json_len(&r.to_value(0)) > 4096);
-    assert!(json_len(&r.to_value(1)) < 2048);
+    assert!(json_length(&r.to_value(0)) > 4096);
+    assert!(json_length(&r.to_value(1)) < 2048);
     for t in (0..240).step_by(2) {
         r.done.insert(t);
-        r.runs.retain(|x| x.0 != t);
-        assert!(json_len(&r.to_value(1)) < 2048);
+        r.runs.retain(|x| x.first != t);
+        assert!(json_length(&r.to_value(1)) < 2048);
     }
 }
 
@@ -453,7 +491,7 @@
     s.state.put("g/l/format", later);
     s.run(6000);
     assert_eq!(s.leader(), None);
-    let rev = s.state.rev;
+    let revision = s.state.revision;
     let ask = |s: &mut Sim, n: usize, method: &str, path: &str, body: Vec<u8>| {
         let slot = s.ask(n, method, path, body);
         assert!(s.until(5000, |s| s.answers[slot].is_some()));
@@ -473,7 +511,7 @@
     s.run(30_000);
     assert_eq!(s.leader(), None);
     assert_eq!(ask(&mut s, 0, "GET", "/up", vec![]).0, 503);
-    assert_eq!(s.state.rev, rev, "nothing is written");
+    assert_eq!(s.state.revision, revision, "nothing is written");
 }
 
 /// The limits fall at each step of jobs' lives, during an election, with large records
@@ -501,7 +539,7 @@
         }
         s.run(6500 + 250 * k);
         let stored = s.state.keys.get("g/j/run-000003");
-        largest = largest.max(stored.map_or(0, |v| json_len(&v.0)));
+        largest = largest.max(stored.map_or(0, |v| json_length(&v.0)));
         if k % 3 == 0 {
             s.old.clear();
             for n in 0..3 {
@@ -555,33 +593,33 @@
         "cloud":{{"rps":9.0,"list_lag_s":1.0}},
         "limits":{{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}}}}"#
     );
-    let cluster: Cluster = serde_json::from_str(&text).expect("settings");
-    let kind = |sku: &str| wire::Flavor {
-        sku: sku.into(),
-        cores: 32.0,
+    let cluster: ClusterSettings = serde_json::from_str(&text).expect("settings");
+    let kind = |name: &str| wire::MachineType {
+        name: name.into(),
+        cpus: 32.0,
         gpus: 4.0,
-        mem_gb: 256.0,
+        memory_gb: 256.0,
         cache_gb: 100.0,
-        fetch: 1.0,
-        hourly: 1.0,
+        fetch_gb_per_s: 1.0,
+        hourly_price: 1.0,
         spot_price: 0.5,
         boot_s: 40.0,
-        halls: vec!["a".into()],
+        zones: vec!["a".into()],
     };
-    let seat = Seat {
+    let term = Term {
         member: "c0".into(),
         epoch: 2,
-        key: gaugesill::store::LEADER,
-        stamp: 3,
-        wall: 1_000_000,
+        key: gaugesill::replica::LEADER_KEY,
+        key_version: 3,
+        began_wall_ms: 1_000_000,
     };
-    let flavors = Arc::new(vec![kind("vidin-32")]);
-    let mut c = Control::new(
-        seat,
+    let machine_types = Arc::new(vec![kind("vidin-32")]);
+    let mut c = Scheduler::new(
+        term,
         &cluster,
-        &Operator::default(),
-        flavors,
-        &Picture::default(),
+        &OperatorSettings::default(),
+        machine_types,
+        &Replica::default(),
         1,
     );
     let lowered = cluster.state.lowered();
@@ -591,56 +629,62 @@
     }
     let (_, bytes) = fixture("record fresh");
     let v: Value = wire::decode(&bytes).expect("a value");
-    let mut record = Record::from_value(&v).expect("a record");
+    let mut record = JobRecord::from_value(&v).expect("a record");
     record.spec.tasks = 900;
     let record = Arc::new(record);
-    c.job_seen("run-1", &Live { record, stamp: 1 }, 1000);
-    let host = |n: u32| format!("m-{:06}", (n * 37) % 1700);
-    let report = |n: u32, serial: u64, pieces: Vec<wire::Piece>| wire::Report {
-        host: host(n),
+    c.apply_record("run-1", &LiveJob { record, version: 1 }, 1000);
+    let machine = |n: u32| format!("m-{:06}", (n * 37) % 1700);
+    let report = |n: u32, serial: u64, tasks: Vec<wire::TaskReport>| wire::Report {
+        machine: machine(n),
         endpoint: "10.1.0.1:9000".into(),
-        flavor: "vidin-32".into(),
-        hall: "a".into(),
-        loaner: true,
-        tenure: 1,
+        machine_type: "vidin-32".into(),
+        zone: "a".into(),
+        spot: true,
+        session: 1,
         serial,
         epoch: 2,
-        notice_s: None,
-        pieces,
+        reclaim_in_s: None,
+        tasks,
     };
     for n in 0..900 {
-        c.report(&report(n, 1, vec![]), true, 1500);
+        c.on_report(&report(n, 1, vec![]), ReportOrigin::CheckIn, 1500);
     }
-    let places = vec![Place {
+    let placements = vec![PlannedPlacement {
         job: "run-1".into(),
-        tasks: (0..900).map(|n| (n, host(n).as_str().into())).collect(),
+        tasks: (0..900).map(|n| (n, machine(n).as_str().into())).collect(),
     }];
     let d = Decision {
-        places,
+        placements,
         ..Decision::default()
     };
-    c.apply(d, 0, 2000, 1_002_000);
-    let placed = c.jobs["run-1"].placed.len() as u32;
+    c.apply_decision(d, 0, 2000, 1_002_000);
+    let placed = c.jobs["run-1"].placements.len() as u32;
     assert!((200..400).contains(&placed), "{placed}");
     c.set_format(1, &lowered);
     let mut now = 2000;
     let mut flown = false;
     for n in (0..placed).rev().step_by(2).chain((0..placed).step_by(2)) {
-        let ended = wire::Piece {
-            piece: format!("run-1/{n}"),
+        let ended = wire::TaskReport {
+            task: format!("run-1/{n}"),
             attempt: 1,
             status: "ended".into(),
             cause: Some("done".into()),
             kept: None,
         };
-        c.report(&report(n, 2, vec![ended]), true, now);
+        c.on_report(&report(n, 2, vec![ended]), ReportOrigin::CheckIn, now);
         now += 1100;
         c.tick(now, 9, 9);
         for e in c.take_effects() {
-            if let Effect::Write { ver, writes, .. } = e {
-                let size = writes[0].data.as_ref().map_or(0, json_len);
+            if let Effect::Write { change, writes, .. } = e {
+                let size = writes[0].value.as_ref().map_or(0, json_length);
                 assert!(size <= 2048, "{size} with {n} done");
-                c.committed("run-1", ver, None, &Commit::Done { rev: now }, now);
+                c.on_commit(
+                    "run-1",
+                    change,
+                    None,
+                    &CommitResult::Committed { revision: now },
+                    now,
+                );
                 flown = true;
             }
         }
