--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,7 +12,9 @@
 mod planning;
 mod replication;
 mod stats;
+mod user_replies;
 mod user_requests;
+mod user_submissions;
 mod user_types;
 
 use std::collections::{BTreeMap, HashMap};
--- a/src/node/user_requests.rs
+++ b/src/node/user_requests.rs
@@ -4,11 +4,9 @@
 use tracing::debug;
 
 use super::calls::{HttpCall, PendingCall, READ_TIMEOUT_MS};
-use super::user_types::{Caller, PendingRequest, Refusal, RequestStage, UserRequest};
+use super::user_types::{Caller, PendingRequest, RequestStage, TaskCounts, UserRequest};
 use super::{Node, WriteOwner};
-use crate::cloud;
-use crate::job::{json_length, JobRecord, JobSpec, Shape};
-use crate::mesh::{ForwardedReply, ForwardedRequest, FORWARD_PATH};
+use crate::mesh::{ForwardedRequest, FORWARD_PATH};
 use crate::net::Outcome;
 use crate::replica::{final_key, job_key};
 use crate::wire::{self, Condition, Write};
@@ -22,20 +20,6 @@
 const RETRY_MS: u64 = 150;
 /// When users are to come back: the least that they wait anyway.
 const RETRY_AFTER_S: u32 = 1;
-/// Amounts that differ by less are the same.
-const EPSILON: f64 = 1e-6;
-/// Part of a value that a job's own fields may take, so that there is room for where
-/// its tasks are.
-const SPEC_SHARE: f64 = 0.6;
-/// What a task's place takes in a packed record at most, with a machine's name of usual
-/// length of which nothing is left out.
-const PLACE_BYTES: f64 = 16.0;
-
-/// Tasks of a job, for display.
-struct TaskCounts {
-    done: u64,
-    running: u64,
-}
 
 impl Node {
     /// Fails for a controller that the state service refuses while another
@@ -91,86 +75,6 @@
         self.accept_new_job(user);
     }
 
-    /// Creates a job that is not known and can run. Any other request, also one that is to
-    /// be refused, waits for a newer replica: it may have been accepted before.
-    fn accept_new_job(&mut self, user: u64) {
-        let Some(pending) = self.users.get(&user) else {
-            return;
-        };
-        let UserRequest::Submit(spec) = &pending.request else {
-            return;
-        };
-        if self.replica.jobs.contains_key(&pending.id) {
-            return;
-        }
-        match self.check_runnable(spec) {
-            Ok(()) => self.create_or_find_dependencies(user),
-            Err(refusal) => debug!("{}: {refusal}", pending.id),
-        }
-    }
-
-    /// Whether a job can run at all.
-    fn check_runnable(&self, spec: &JobSpec) -> Result<(), Refusal> {
-        let teams = &self.settings.cluster.teams;
-        let team = teams.iter().find(|team| team.name == spec.team);
-        let team = team.ok_or(Refusal::UnknownTeam)?;
-        let tasks_at_once = match spec.shape {
-            Shape::Gang => f64::from(spec.tasks),
-            Shape::Array | Shape::Service => 1.0,
-        };
-        let beyond = |max: f64, task: f64| max > 0.0 && task * tasks_at_once > max + EPSILON;
-        if beyond(team.cpus_max, spec.cpus) || beyond(team.gpus_max, spec.gpus) {
-            return Err(Refusal::BeyondTeamLimit);
-        }
-        if self.machine_types.is_empty() {
-            return Err(Refusal::MachineTypesUnknown);
-        }
-        if !cloud::can_run(spec, &self.machine_types) {
-            return Err(Refusal::FitsNoMachineType);
-        }
-        self.check_fits_record(spec)
-    }
-
-    /// Whether a job's record fits into a value, also under limits to come: its own fields
-    /// beside some places, and for a gang, whose tasks start together, all of its places.
-    fn check_fits_record(&self, spec: &JobSpec) -> Result<(), Refusal> {
-        let value_bytes = self.settings.cluster.state.lowered().value_kb * 1024.0;
-        let record = JobRecord::new(spec.clone(), self.now.wall).to_value(0);
-        let record_bytes = json_length(&record) as f64;
-        if record_bytes > value_bytes * SPEC_SHARE {
-            return Err(Refusal::TooLongToKeep);
-        }
-        let places_bytes = f64::from(spec.tasks) * PLACE_BYTES;
-        if spec.shape == Shape::Gang && record_bytes + places_bytes > value_bytes {
-            return Err(Refusal::GangTooLargeToKeep);
-        }
-        Ok(())
-    }
-
-    /// Writes the record of a new job.
-    pub(super) fn create_job(&mut self, user: u64) {
-        let format = self.format();
-        let wall = self.now.wall;
-        let Some(pending) = self.users.get_mut(&user) else {
-            return;
-        };
-        let UserRequest::Submit(spec) = &pending.request else {
-            return;
-        };
-        let record = JobRecord::new((**spec).clone(), wall);
-        pending.stage = RequestStage::Commit;
-        let id = &pending.id;
-        self.writes.push(WriteRequest {
-            owner: WriteOwner::User(user),
-            conditions: vec![
-                Condition::new(job_key(id), 0),
-                Condition::new(final_key(id), 0),
-            ],
-            writes: vec![Write::set(job_key(id), record.to_value(format))],
-            class: WriteClass::User,
-        });
-    }
-
     /// Writes a job's cancellation.
     fn cancel_job(&mut self, user: u64, id: &str) {
         let format = self.format();
@@ -323,32 +227,6 @@
         }
     }
 
-    /// A job was never accepted: a submission is decided on, other requests end.
-    fn on_unknown_job(&mut self, user: u64) {
-        let Some(pending) = self.users.get(&user) else {
-            return;
-        };
-        let UserRequest::Submit(spec) = &pending.request else {
-            let body = wire::encode(&wire::ErrorReply {
-                error: "no such job",
-            });
-            return self.finish_user(user, 404, None, body);
-        };
-        let decision = match self.check_runnable(spec) {
-            Ok(()) if pending.names_unknown_job => Err(Refusal::NamesUnknownJob),
-            decision => decision,
-        };
-        match decision {
-            Ok(()) => self.create_or_find_dependencies(user),
-            Err(refusal) => {
-                let body = wire::encode(&wire::ErrorReply {
-                    error: &refusal.to_string(),
-                });
-                self.finish_user(user, refusal.status(), refusal.retry_after(), body);
-            }
-        }
-    }
-
     pub(super) fn on_user_commit(&mut self, user: u64, result: &CommitResult) {
         let (now, after) = (self.now.steady, self.event_count);
         let Some(pending) = self.users.get_mut(&user) else {
@@ -414,76 +292,6 @@
             }
         }
     }
-
-    /// Removes a request that has its answer.
-    fn take_user(&mut self, user: u64) -> Option<PendingRequest> {
-        let pending = self.users.remove(&user)?;
-        let now = self.now.steady;
-        let took_ms = now - pending.since;
-        self.admission.record(took_ms, self.users.len() + 1, now);
-        Some(pending)
-    }
-
-    pub(super) fn finish_user(
-        &mut self,
-        user: u64,
-        status: u16,
-        retry_after: Option<u32>,
-        body: Vec<u8>,
-    ) {
-        if let Some(pending) = self.take_user(user) {
-            self.reply(pending.caller, status, retry_after, body);
-        }
-    }
-
-    fn finish_status(
-        &mut self,
-        user: u64,
-        status: u16,
-        job_status: &str,
-        counts: Option<TaskCounts>,
-    ) {
-        if let Some(pending) = self.take_user(user) {
-            self.reply_status(pending.caller, &pending.id, status, job_status, counts);
-        }
-    }
-
-    fn reply_status(
-        &mut self,
-        caller: Caller,
-        id: &str,
-        status: u16,
-        job_status: &str,
-        counts: Option<TaskCounts>,
-    ) {
-        if job_status == wire::WITHDRAWN {
-            self.note_told_cancelled(id);
-        }
-        let body = wire::encode(&wire::JobStatusReply {
-            id,
-            status: job_status,
-            done: counts.as_ref().map(|counts| counts.done),
-            running: counts.as_ref().map(|counts| counts.running),
-        });
-        self.reply(caller, status, None, body);
-    }
-
-    fn reply_error(&mut self, caller: Caller, status: u16, retry_after: Option<u32>, reason: &str) {
-        let body = wire::encode(&wire::ErrorReply { error: reason });
-        self.reply(caller, status, retry_after, body);
-    }
-
-    fn reply(&mut self, caller: Caller, status: u16, retry_after: Option<u32>, body: Vec<u8>) {
-        if !caller.forwarded {
-            return self.answer(caller.connection, status, retry_after, body);
-        }
-        let reply = ForwardedReply {
-            status: u32::from(status),
-            retry_after,
-            body,
-        };
-        self.answer(caller.connection, 200, None, reply.encode_to_vec());
-    }
 }
 
 /// Why a request can't be read.
--- a/src/node/user_types.rs
+++ b/src/node/user_types.rs
@@ -35,6 +35,12 @@
     Pause { until: u64 },
 }
 
+/// Tasks of a job, for display.
+pub(super) struct TaskCounts {
+    pub done: u64,
+    pub running: u64,
+}
+
 /// A request in progress.
 #[derive(Debug, Clone)]
 pub(super) struct PendingRequest {
