duty-lease: leases with fencing tokens for duties, and orders recorded before they are sent

Need: renting, returning, reclaiming and cleaning are to be done by one controller at a time, and one that was replaced must do no harm (docs/duty-leases.md).

Change: a package of its own, not used by the service yet. DutyLease is one controller's part in the lease of a duty, OrderBook takes a holder's orders from the need over the recorded intent to the completion. Pure: events and the time in, requests out.

--- /dev/null
+++ b/crates/duty-lease/src/intent.rs
@@ -0,0 +1,90 @@
+//! Needs, the intents that meet them, and the orders that intents stand for.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Duty, Token};
+
+/// An order to the outside world.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Order {
+    /// Rent machines.
+    Rent {
+        /// The kind of machine.
+        kind: String,
+        /// How many at most.
+        count: u32,
+    },
+    /// Delete a machine.
+    Delete {
+        /// Its name.
+        machine: String,
+    },
+}
+
+/// The name of an order, unique for ever: no other order ever has it, whoever sends it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OrderId {
+    /// The duty.
+    pub duty: Duty,
+    /// The token of the holder that recorded the intent.
+    pub token: Token,
+    /// That holder's count of intents.
+    pub sequence: u64,
+}
+
+impl fmt::Display for OrderId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}-{}", self.duty.name(), self.token, self.sequence)
+    }
+}
+
+/// What the planning leader wants done. The leader decides what, the holder of the duty
+/// does it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Need {
+    /// Its name.
+    pub id: String,
+    /// What is to be done.
+    pub order: Order,
+    /// The version of its key.
+    #[serde(skip)]
+    pub version: u64,
+}
+
+/// How far an intent is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum IntentState {
+    /// Its order may have been sent, and may be on its way.
+    Open,
+    /// Its order was carried out, and nothing more is to be done.
+    Completed,
+}
+
+/// An order that was recorded before it was sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Intent {
+    /// The order's name.
+    pub id: OrderId,
+    /// The order.
+    pub order: Order,
+    /// How far it is.
+    pub state: IntentState,
+    /// The version of its key.
+    #[serde(skip)]
+    pub version: u64,
+}
+
+/// What carrying out an order brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderResult {
+    /// Machines were rented, perhaps fewer than asked for.
+    Rented(Vec<String>),
+    /// None of the kind is to be had.
+    NoCapacity,
+    /// The machine is gone.
+    Deleted,
+}
--- /dev/null
+++ b/crates/duty-lease/src/lib.rs
@@ -0,0 +1,69 @@
+//! Duties that exactly one controller has at a time, under fenced leases.
+//!
+//! A *duty* is work on something that all controllers share, such as renting machines or
+//! returning them. Its holder has a lease: a key in the state service that lives as long as
+//! the holder renews its grant. Each change of hands raises the duty's *fencing token*,
+//! which is kept apart from the lease and never goes back.
+//!
+//! Three things keep a holder that was replaced from doing harm:
+//!
+//! 1. It stops giving orders before its lease can have ended anywhere ([`DutyLease`]).
+//! 2. Each order is recorded as an *intent* before it is sent, on condition that the lease
+//!    is still the sender's ([`OrderBook`]).
+//! 3. The outside world makes what is late harmless: a provider that takes tokens refuses
+//!    lower ones; one that does not gets orders that may be carried out twice.
+//!
+//! All types take events and the time and return actions. They know no sockets and no
+//! clocks, and behave the same each time.
+
+mod intent;
+mod lease;
+mod order_book;
+mod timing;
+
+pub use intent::{Intent, IntentState, Need, Order, OrderId, OrderResult};
+pub use lease::{
+    DutyLease, HolderKey, LeaseEvent, LeaseRequest, LeaseResponse, LeaseView, LossReason,
+    SuspensionReason,
+};
+pub use order_book::{OrderBook, OrderOutcome, OrderRequest, RecordOutcome, WriteGuard};
+pub use timing::{LeaseTiming, TimingError};
+
+use serde::{Deserialize, Serialize};
+
+/// A fencing token: the higher one is the newer holder's. 0 stands for none.
+pub type Token = u64;
+
+/// What controllers have to do for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Duty {
+    /// Rent machines.
+    Rent,
+    /// Return machines that were chosen for it.
+    Return,
+    /// Find idle machines.
+    ReclaimIdle,
+    /// Remove records without an owner.
+    CleanState,
+}
+
+impl Duty {
+    /// All duties.
+    pub const ALL: [Duty; 4] = [
+        Duty::Rent,
+        Duty::Return,
+        Duty::ReclaimIdle,
+        Duty::CleanState,
+    ];
+
+    /// Its name in keys and settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Duty::Rent => "rent",
+            Duty::Return => "return",
+            Duty::ReclaimIdle => "reclaim-idle",
+            Duty::CleanState => "clean-state",
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,8 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use gaugesill::settings::{OperatorSettings, Settings};
+use gaugesill::settings::{OperatorSettings, Settings, SettingsError};
+use thiserror::Error;
 use tracing_subscriber::filter::LevelFilter;
 
 /// A cluster scheduler that starts gangs all or nothing.
@@ -22,17 +23,26 @@
     check: bool,
 }
 
-fn log_level() -> Result<LevelFilter, String> {
+/// Why the program ends.
+#[derive(Debug, Error)]
+enum StartError {
+    #[error("LOG_LEVEL: not a level: {0}")]
+    LogLevel(String),
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error("the event loop failed: {0}")]
+    EventLoop(#[from] std::io::Error),
+}
+
+fn log_level() -> Result<LevelFilter, StartError> {
     match std::env::var("LOG_LEVEL") {
         Err(_) => Ok(LevelFilter::INFO),
         Ok(text) if text.is_empty() => Ok(LevelFilter::INFO),
-        Ok(text) => text
-            .parse()
-            .map_err(|_| format!("LOG_LEVEL: not a level: {text}")),
+        Ok(text) => text.parse().map_err(|_| StartError::LogLevel(text)),
     }
 }
 
-fn run() -> Result<(), String> {
+fn run() -> Result<(), StartError> {
     let args = Args::parse();
     tracing_subscriber::fmt()
         .with_max_level(log_level()?)
@@ -41,16 +51,17 @@
         .without_time()
         .with_ansi(false)
         .init();
-    let settings = Settings::load(&args.config).map_err(|e| e.to_string())?;
+    let settings = Settings::load(&args.config)?;
     let operator = match &args.operator {
-        Some(file) => OperatorSettings::load(file).map_err(|e| e.to_string())?,
+        Some(file) => OperatorSettings::load(file)?,
         None => OperatorSettings::default(),
     };
     if args.check {
         println!("settings are fine");
         return Ok(());
     }
-    gaugesill::serve::serve(settings, operator).map_err(|e| format!("the event loop failed: {e}"))
+    gaugesill::serve::serve(settings, operator)?;
+    Ok(())
 }
 
 fn main() -> ExitCode {
