Stand-ins' long functions in steps; words left from the renaming

Cause: the delivery of messages and a worker's tick were functions of 230 and 140 lines, and a few names of the stand-ins had been changed by mistake with the code's. Change: one function for each kind of message and for each thing that a worker does.

--- a/examples/size.rs
+++ b/examples/size.rs
@@ -325,7 +325,7 @@
     let term = Term { epoch: 2, ..term };
     let t = Instant::now();
     let mut c = Scheduler::new(term, &cluster, &op, machine_types, &replica, now);
-    line("a successor's mind from the records", t, 1);
+    line("a successor's state from the records", t, 1);
     let t = Instant::now();
     c.on_machine_list(&listed, now, now);
     line("the cloud's list", t, 1);
--- a/tests/combined_failures.rs
+++ b/tests/combined_failures.rs
@@ -51,7 +51,7 @@
 }
 
 /// The state service refuses the leader; after a while another controller confirms to a
-/// user that the first of two long jobs is called off. The leader and that other one.
+/// user that the first of two long jobs is cancelled. The leader and that other one.
 fn refused_then_called_off(sim: &mut Sim, after: u64) -> (usize, usize) {
     let l = two_long(sim);
     let other = (l + 1) % 3;
@@ -74,7 +74,7 @@
     assert_eq!(left(sim, "run-000001"), 0, "{}", sim.trace.join("\n"));
 }
 
-/// Afterwards all that was not called off is done, and everybody knows.
+/// Afterwards all that was not cancelled is done, and everybody knows.
 fn all_is_well(sim: &mut Sim) {
     sim.no_peers.clear();
     sim.end_outage();
@@ -153,7 +153,7 @@
 }
 
 /// A cancellation told by the leader itself, and one that it handed on, a moment
-/// before an outage: its own mind knows of both without a read.
+/// before an outage: its own state knows of both without a read.
 #[test]
 fn a_single_controller_knows_the_cancellations_it_told() {
     for refused in [false, true] {
@@ -179,7 +179,7 @@
 }
 
 /// A leader whose reads lag places a job, its starts go out, it gives its leadership
-/// up, and takes it again: its second mind must know of those places.
+/// up, and takes it again: its second term must know of those places.
 #[test]
 fn a_second_term_knows_the_changes_of_the_first() {
     for blind_ms in [300, 900, 2000] {
@@ -221,7 +221,7 @@
 }
 
 /// Users ask at all controllers, within milliseconds, and repeat the submission,
-/// right after a job was accepted, ended or called off, while answers of the state
+/// right after a job was accepted, ended or cancelled, while answers of the state
 /// service are lost or its transactions carried out late: nobody says anything older.
 #[test]
 fn answers_never_go_back_with_lost_and_late_writes() {
@@ -322,7 +322,7 @@
     assert_eq!(n, 1, "the first only");
 }
 
-/// Jobs are called off in the seconds in which the work changes hands, and once more
+/// Jobs are cancelled in the seconds in which the work changes hands, and once more
 /// before a machine is heard by the new leader.
 #[test]
 fn cancellation_while_leadership_changes() {
@@ -383,7 +383,7 @@
 }
 
 /// Leaders change ten times in two minutes, also inside an outage, while jobs are
-/// called off and copies of reports come late.
+/// cancelled and copies of reports come late.
 #[test]
 fn ten_leaders_in_two_minutes() {
     for k in 0..3u64 {
@@ -467,7 +467,7 @@
     }
 }
 
-/// The team is at its limit while jobs are called off whose machines are cut off,
+/// The team is at its limit while jobs are cancelled whose machines are cut off,
 /// hang or hear nothing, and the leader changes: what may run counts until it is
 /// proven gone.
 #[test]
@@ -617,7 +617,7 @@
     }
 }
 
-/// One-task jobs come four a second, a quarter of them called off: none waits long,
+/// One-task jobs come four a second, a quarter of them cancelled: none waits long,
 /// none is lost.
 #[test]
 fn one_task_jobs_four_a_second() {
--- a/tests/common/delivery.rs
+++ b/tests/common/delivery.rs
@@ -8,74 +8,14 @@
 use super::state_service::*;
 
 impl Sim {
-    pub(super) fn deliver(&mut self, m: Msg) {
-        match m {
+    pub(super) fn deliver(&mut self, message: Msg) {
+        match message {
             Msg::State {
                 ticket,
                 method,
                 path,
                 body,
-            } => {
-                if self.no_state.contains(&ticket.node) {
-                    // Held back, and carried out late.
-                    self.reservations.push(Msg::State {
-                        ticket,
-                        method,
-                        path,
-                        body,
-                    });
-                    return;
-                }
-                if self.state_out || self.refused.contains(&ticket.node) {
-                    let outcome = Outcome::Answer {
-                        status: 503,
-                        body: vec![],
-                    };
-                    return self.respond(2, ticket, outcome);
-                }
-                if self.blind.contains(&ticket.node) && matches!(method, "GET" | "DELETE") {
-                    return;
-                }
-                let mut answered = true;
-                let body = self.as_old(ticket.node, &path, body);
-                if path == "/txn" {
-                    self.txns += 1;
-                    match self.writes {
-                        Writes::Unanswered(n) => answered = self.txns % n != 0,
-                        Writes::Late(n, ms) if self.txns % n == 0 => {
-                            let m = Msg::State {
-                                ticket,
-                                method,
-                                path,
-                                body,
-                            };
-                            self.held_writes.push((self.now + ms, m));
-                            return;
-                        }
-                        _ => {}
-                    }
-                }
-                match self.state.handle(method, &path, &body, self.now) {
-                    Served::Timestamp(status, body) => {
-                        for c in std::mem::take(&mut self.state.commits) {
-                            self.note(c);
-                        }
-                        if !answered {
-                            return;
-                        }
-                        let outcome = Outcome::Answer { status, body };
-                        self.respond(2, ticket, outcome);
-                    }
-                    Served::Wait(under, from, until) => {
-                        self.watches.push(Watch {
-                            ticket,
-                            under,
-                            from,
-                            until,
-                        });
-                    }
-                }
-            }
+            } => self.deliver_to_state(ticket, method, path, body),
             Msg::Cloud {
                 ticket,
                 method,
@@ -91,69 +31,13 @@
                 machine,
                 path,
                 body,
-            } => {
-                if self.hung.contains_key(&machine) {
-                    self.hung_inbox.push(Msg::Worker {
-                        ticket,
-                        machine,
-                        path,
-                        body,
-                    });
-                    return;
-                }
-                if self.apart(ticket.node, &machine)
-                    || self.deaf.contains(&machine)
-                    || !self.workers.contains_key(&machine)
-                {
-                    return;
-                }
-                let mut status = 200;
-                if path == "/orders" {
-                    let o: CommandBatch = wire::decode(&body).expect("orders");
-                    let w = &self.workers[&machine];
-                    if o.epoch < w.epoch || o.session != Some(w.session) {
-                        status = 409;
-                    } else {
-                        self.commands(&machine, o);
-                    }
-                }
-                let (Some(w), Some(r)) = (
-                    self.workers.get_mut(&machine),
-                    self.cloud.machines.get(&machine),
-                ) else {
-                    return;
-                };
-                let body = wire::encode(&w.report(r));
-                let outcome = Outcome::Answer { status, body };
-                self.respond(1, ticket, outcome);
-            }
+            } => self.deliver_to_worker(ticket, machine, path, body),
             Msg::Peer {
                 ticket,
                 to,
                 path,
                 body,
-            } => {
-                let apart = [ticket.node, to].iter().any(|n| self.no_peers.contains(n));
-                if self.nodes[to].is_none() || apart {
-                    return;
-                }
-                let connection = self.next_conn;
-                self.next_conn += 1;
-                self.conns.insert(connection, Origin::Peer(ticket));
-                let request = Request {
-                    method: "POST".into(),
-                    path,
-                    body,
-                };
-                self.event(
-                    to,
-                    Event::Request {
-                        connection,
-                        listener: Listener::Mesh,
-                        request,
-                    },
-                );
-            }
+            } => self.deliver_to_peer(ticket, to, path, body),
             Msg::Reply { ticket, outcome } => self.reply(ticket, outcome),
             Msg::Checkin {
                 machine,
@@ -161,79 +45,204 @@
                 to,
                 body,
                 copy,
-            } => {
-                if self.cut.contains(&machine) && self.inside != Some(to) {
-                    self.late.push(Msg::Checkin {
-                        machine,
-                        serial,
-                        to,
+            } => self.deliver_checkin(machine, serial, to, body, copy),
+            Msg::Answer {
+                machine,
+                serial,
+                from,
+                status,
+                body,
+            } => self.worker_answer(&machine, serial, from, status, &body),
+        }
+    }
+
+    fn deliver_to_state(
+        &mut self,
+        ticket: Ticket,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+    ) {
+        if self.no_state.contains(&ticket.node) {
+            // Held back, and carried out late.
+            self.held_messages.push(Msg::State {
+                ticket,
+                method,
+                path,
+                body,
+            });
+            return;
+        }
+        if self.state_out || self.refused.contains(&ticket.node) {
+            let outcome = Outcome::Answer {
+                status: 503,
+                body: vec![],
+            };
+            return self.respond(2, ticket, outcome);
+        }
+        if self.blind.contains(&ticket.node) && matches!(method, "GET" | "DELETE") {
+            return;
+        }
+        let mut answered = true;
+        let body = self.as_old(ticket.node, &path, body);
+        if path == "/txn" {
+            self.txns += 1;
+            match self.writes {
+                Writes::Unanswered(n) => answered = self.txns % n != 0,
+                Writes::Late(n, ms) if self.txns % n == 0 => {
+                    let late = Msg::State {
+                        ticket,
+                        method,
+                        path,
                         body,
-                        copy,
-                    });
-                    return;
-                }
-                if self.mute.contains(&machine) && !copy {
+                    };
+                    self.held_writes.push((self.now + ms, late));
                     return;
                 }
-                if self.copies_for_next.is_some() && !copy {
-                    for to in 0..3 {
-                        self.kept_copies.push(Msg::Checkin {
-                            machine: machine.clone(),
-                            serial,
-                            to,
-                            body: body.clone(),
-                            copy: true,
-                        });
-                    }
-                }
-                if !copy {
-                    // To every controller: also to one that leads by then.
-                    for (after, to) in self
-                        .copies_after
-                        .clone()
-                        .into_iter()
-                        .flat_map(|a| (0..3).map(move |n| (a, n)))
-                    {
-                        let again = Msg::Checkin {
-                            machine: machine.clone(),
-                            serial,
-                            to,
-                            body: body.clone(),
-                            copy: true,
-                        };
-                        self.send(after, again);
-                    }
-                }
-                if self.nodes[to].is_none() || self.apart(to, &machine) {
-                    return;
+                _ => {}
+            }
+        }
+        match self.state.handle(method, &path, &body, self.now) {
+            Served::Now(status, body) => {
+                for commit in std::mem::take(&mut self.state.commits) {
+                    self.note(commit);
                 }
-                let connection = self.next_conn;
-                self.next_conn += 1;
-                if !copy {
-                    self.conns
-                        .insert(connection, Origin::Worker(machine, serial));
+                if answered {
+                    let outcome = Outcome::Answer { status, body };
+                    self.respond(2, ticket, outcome);
                 }
-                let request = Request {
-                    method: "POST".into(),
-                    path: "/checkin".into(),
-                    body,
-                };
-                self.event(
-                    to,
-                    Event::Request {
-                        connection,
-                        listener: Listener::Front,
-                        request,
-                    },
-                );
             }
-            Msg::Answer {
+            Served::Wait(under, from, until) => self.watches.push(Watch {
+                ticket,
+                under,
+                from,
+                until,
+            }),
+        }
+    }
+
+    fn deliver_to_worker(&mut self, ticket: Ticket, machine: String, path: String, body: Vec<u8>) {
+        if self.hung.contains_key(&machine) {
+            self.hung_inbox.push(Msg::Worker {
+                ticket,
+                machine,
+                path,
+                body,
+            });
+            return;
+        }
+        let deaf = self.apart(ticket.node, &machine) || self.deaf.contains(&machine);
+        if deaf || !self.workers.contains_key(&machine) {
+            return;
+        }
+        let mut status = 200;
+        if path == wire::COMMANDS_PATH {
+            let batch: CommandBatch = wire::decode(&body).expect("commands");
+            let worker = &self.workers[&machine];
+            if batch.epoch < worker.epoch || batch.session != Some(worker.session) {
+                status = 409;
+            } else {
+                self.commands(&machine, batch);
+            }
+        }
+        let worker = self.workers.get_mut(&machine);
+        let (Some(worker), Some(rented)) = (worker, self.cloud.machines.get(&machine)) else {
+            return;
+        };
+        let body = wire::encode(&worker.report(rented));
+        let outcome = Outcome::Answer { status, body };
+        self.respond(1, ticket, outcome);
+    }
+
+    fn deliver_to_peer(&mut self, ticket: Ticket, to: usize, path: String, body: Vec<u8>) {
+        let apart = [ticket.node, to].iter().any(|n| self.no_peers.contains(n));
+        if self.nodes[to].is_none() || apart {
+            return;
+        }
+        let connection = self.new_connection();
+        self.conns.insert(connection, Origin::Peer(ticket));
+        self.post(to, connection, Listener::Mesh, path, body);
+    }
+
+    fn deliver_checkin(
+        &mut self,
+        machine: String,
+        serial: u64,
+        to: usize,
+        body: Vec<u8>,
+        copy: bool,
+    ) {
+        if self.cut.contains(&machine) && self.inside != Some(to) {
+            self.late.push(Msg::Checkin {
                 machine,
                 serial,
-                from,
-                status,
+                to,
                 body,
-            } => self.worker_answer(&machine, serial, from, status, &body),
+                copy,
+            });
+            return;
+        }
+        if self.mute.contains(&machine) && !copy {
+            return;
         }
+        if !copy {
+            self.copy_checkin(&machine, serial, &body);
+        }
+        if self.nodes[to].is_none() || self.apart(to, &machine) {
+            return;
+        }
+        let connection = self.new_connection();
+        if !copy {
+            let origin = Origin::Worker(machine, serial);
+            self.conns.insert(connection, origin);
+        }
+        let path = wire::CHECKIN_PATH.to_string();
+        self.post(to, connection, Listener::Front, path, body);
+    }
+
+    /// Keeps copies for the next leader, and sends others, to every controller: also to one
+    /// that leads by then.
+    fn copy_checkin(&mut self, machine: &str, serial: u64, body: &[u8]) {
+        let copy = |to| Msg::Checkin {
+            machine: machine.to_string(),
+            serial,
+            to,
+            body: body.to_vec(),
+            copy: true,
+        };
+        if self.copies_for_next.is_some() {
+            self.kept_copies.extend((0..3).map(copy));
+        }
+        for after_ms in self.copies_after.clone() {
+            for to in 0..3 {
+                self.send(after_ms, copy(to));
+            }
+        }
+    }
+
+    fn new_connection(&mut self) -> usize {
+        self.next_conn += 1;
+        self.next_conn - 1
+    }
+
+    fn post(
+        &mut self,
+        to: usize,
+        connection: usize,
+        listener: Listener,
+        path: String,
+        body: Vec<u8>,
+    ) {
+        let request = Request {
+            method: "POST".into(),
+            path,
+            body,
+        };
+        let event = Event::Request {
+            connection,
+            listener,
+            request,
+        };
+        self.event(to, event);
     }
 }
--- a/tests/common/faults.rs
+++ b/tests/common/faults.rs
@@ -67,7 +67,7 @@
     /// What a cut held back is delivered.
     pub fn heal_state(&mut self) {
         self.no_state.clear();
-        for m in std::mem::take(&mut self.reservations) {
+        for m in std::mem::take(&mut self.held_messages) {
             self.send(2, m);
         }
     }
--- a/tests/common/sim.rs
+++ b/tests/common/sim.rs
@@ -39,7 +39,7 @@
     /// Controllers that the state service does not hear.
     pub no_state: HashSet<usize>,
     /// What they send it meanwhile arrives when the cut ends.
-    pub(super) reservations: Vec<Msg>,
+    pub(super) held_messages: Vec<Msg>,
     /// Controllers that workers can't reach, nor they the workers.
     pub no_workers: HashSet<usize>,
     /// Controllers that the others can't reach, nor they them.
@@ -130,7 +130,7 @@
             jobs: BTreeMap::new(),
             state_out: false,
             no_state: HashSet::new(),
-            reservations: vec![],
+            held_messages: vec![],
             no_workers: HashSet::new(),
             no_peers: HashSet::new(),
             cut: HashSet::new(),
--- a/tests/common/state_service.rs
+++ b/tests/common/state_service.rs
@@ -113,7 +113,7 @@
                 if n.changes.is_empty() && hold > 0 {
                     return Served::Wait(under, from, now + hold);
                 }
-                Served::Timestamp(200, wire::encode(&n))
+                Served::Now(200, wire::encode(&n))
             }
             ("GET", "/kv") => {
                 let under = query(path, "under").unwrap_or("");
@@ -134,14 +134,14 @@
                 let v = cbor!({
                     "pairs" => pairs, "truncated" => all.len() > most, "ledgerRev" => self.revision
                 });
-                Served::Timestamp(200, wire::encode(&v.expect("value")))
+                Served::Now(200, wire::encode(&v.expect("value")))
             }
             ("GET", p) if p.starts_with("/kv/") => match self.keys.get(&p[4..]) {
                 Some(v) => {
                     let v = cbor!({"key" => &p[4..], "data" => v.0, "stamp" => v.1});
-                    Served::Timestamp(200, wire::encode(&v.expect("value")))
+                    Served::Now(200, wire::encode(&v.expect("value")))
                 }
-                None => Served::Timestamp(404, vec![]),
+                None => Served::Now(404, vec![]),
             },
             ("POST", "/txn") => self.txn(body, now),
             ("POST", "/grants") => {
@@ -149,7 +149,7 @@
                 self.next_grant += 1;
                 self.grants
                     .insert(self.next_grant, (now + ask.life_ms, ask.life_ms));
-                Served::Timestamp(
+                Served::Now(
                     200,
                     wire::encode(&Grant {
                         grant: self.next_grant,
@@ -165,9 +165,9 @@
                 match self.grants.get_mut(&id) {
                     Some(g) => {
                         g.0 = now + g.1;
-                        Served::Timestamp(200, vec![])
+                        Served::Now(200, vec![])
                     }
-                    None => Served::Timestamp(404, vec![]),
+                    None => Served::Now(404, vec![]),
                 }
             }
             ("DELETE", p) => {
@@ -177,9 +177,9 @@
                     .and_then(|s| s.parse().ok())
                     .unwrap_or(0);
                 self.end_grant(id);
-                Served::Timestamp(200, vec![])
+                Served::Now(200, vec![])
             }
-            _ => Served::Timestamp(400, vec![]),
+            _ => Served::Now(400, vec![]),
         }
     }
 
@@ -190,7 +190,7 @@
             if t.writes.len() > low.ops || t.writes.iter().any(|w| size(w) > low.value) {
                 self.too_large += 1;
                 let e = cbor!({"error" => "too large"}).expect("value");
-                return Served::Timestamp(400, wire::encode(&e));
+                return Served::Now(400, wire::encode(&e));
             }
             let (left, at) = self.left;
             let since = (now - at) as f64 / 1000.0;
@@ -198,7 +198,7 @@
             self.left = (left, now);
             if (t.writes.len() as f64) > left {
                 self.too_much += 1;
-                return Served::Timestamp(429, vec![]);
+                return Served::Now(429, vec![]);
             }
             self.left.0 -= t.writes.len() as f64;
         }
@@ -210,13 +210,13 @@
             .collect();
         if !failed.is_empty() {
             let r = cbor!({"failed" => failed, "ledgerRev" => self.revision}).expect("value");
-            return Served::Timestamp(409, wire::encode(&r));
+            return Served::Now(409, wire::encode(&r));
         }
         if t.writes
             .iter()
             .any(|w| w.grant.is_some_and(|p| !self.grants.contains_key(&p)))
         {
-            return Served::Timestamp(400, vec![]);
+            return Served::Now(400, vec![]);
         }
         self.revision += 1;
         for w in t.writes {
@@ -233,7 +233,7 @@
             }
         }
         let r = cbor!({"ledgerRev" => self.revision}).expect("value");
-        Served::Timestamp(200, wire::encode(&r))
+        Served::Now(200, wire::encode(&r))
     }
 }
 
@@ -246,7 +246,7 @@
 }
 
 pub enum Served {
-    Timestamp(u16, Vec<u8>),
+    Now(u16, Vec<u8>),
     /// A watch: prefix, revision, until when.
     Wait(String, u64, u64),
 }
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -114,7 +114,7 @@
                 if st == "withdrawn" {
                     j.cancelled_at.get_or_insert(self.now);
                     if !asked {
-                        self.broken.push(format!("nobody called off {id}"));
+                        self.broken.push(format!("nobody cancelled {id}"));
                     }
                 }
                 if st == "done" && j.done.len() < j.tasks as usize {
@@ -135,7 +135,7 @@
         self.answers[slot] = Some((status, retry, body));
     }
 
-    /// A job is called off, by a user who asks at one controller after the other until
+    /// A job is cancelled, by a user who asks at one controller after the other until
     /// told what has become of it.
     pub fn cancel_until_answered(&mut self, id: &str) -> String {
         for n in 0..60 {
--- a/tests/common/worker_events.rs
+++ b/tests/common/worker_events.rs
@@ -8,6 +8,15 @@
 use super::sim::*;
 use super::worker::*;
 
+/// Times of the settings that the tests use, see `settings_with`.
+const REPORT_MS: u64 = 3000;
+const LEASE_MS: u64 = 36_000;
+const GANG_WAIT_MS: u64 = 35_000;
+const GANG_PEER_MS: u64 = 4000;
+const CANCEL_MS: u64 = 60_000;
+/// How long a worker waits for an answer.
+const ANSWER_MS: u64 = 4000;
+
 impl Sim {
     pub(super) fn worker_answer(
         &mut self,
@@ -181,140 +190,178 @@
     }
 
     pub(super) fn tick_workers(&mut self) {
+        self.start_and_end_workers();
+        let waiting = self.gang_tasks_in("gathering");
+        self.note_torn_gangs();
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        let mut out = Vec::new();
+        for name in names {
+            if self.hung.contains_key(&name) {
+                self.tick_hung_worker(&name);
+                continue;
+            }
+            self.end_lost_session(&name);
+            self.tick_tasks(&name, &waiting);
+            out.extend(self.checkin(&name));
+        }
+        for message in out {
+            self.send(1, message);
+        }
+    }
+
+    fn start_and_end_workers(&mut self) {
         let now = self.now;
-        for (name, m) in &self.cloud.machines {
-            if now >= m.up_at && !self.workers.contains_key(name) {
-                self.workers.insert(
-                    name.clone(),
-                    Worker {
-                        machine: name.clone(),
-                        session: 1,
-                        serial: 0,
-                        epoch: 0,
-                        tasks: vec![],
-                        to: 0,
-                        waiting: None,
-                        acked: now,
-                        next: now,
-                        changed: false,
-                        killed: 0,
-                    },
-                );
+        for (name, machine) in &self.cloud.machines {
+            if now >= machine.up_at && !self.workers.contains_key(name) {
+                let worker = Worker {
+                    machine: name.clone(),
+                    session: 1,
+                    serial: 0,
+                    epoch: 0,
+                    tasks: vec![],
+                    to: 0,
+                    waiting: None,
+                    acked: now,
+                    next: now,
+                    changed: false,
+                    killed: 0,
+                };
+                self.workers.insert(name.clone(), worker);
             }
         }
         let machines = &self.cloud.machines;
-        self.workers.retain(|n, _| machines.contains_key(n));
-        // Gangs begin once all of them wait under one attempt.
-        let mut waiting: HashMap<(String, u64), u32> = HashMap::new();
-        for w in self.workers.values() {
-            for t in w.tasks.iter().filter(|t| t.state == "gathering") {
-                let id = t.name.rsplit_once('/').expect("name").0.to_string();
-                *waiting.entry((id, t.attempt)).or_insert(0) += 1;
+        self.workers.retain(|name, _| machines.contains_key(name));
+    }
+
+    /// How many tasks of each job and attempt are in a state.
+    fn gang_tasks_in(&self, state: &str) -> HashMap<(String, u64), u32> {
+        let mut counts = HashMap::new();
+        for worker in self.workers.values() {
+            for task in worker.tasks.iter().filter(|t| t.state == state) {
+                let id = task.name.rsplit_once('/').expect("name").0.to_string();
+                *counts.entry((id, task.attempt)).or_insert(0) += 1;
             }
         }
-        // A running gang that lost a task notices within `gang_peer_s`.
-        let mut running: HashMap<(String, u64), u32> = HashMap::new();
-        for w in self.workers.values() {
-            for t in w.tasks.iter().filter(|t| t.state == "running") {
-                let id = t.name.rsplit_once('/').expect("name").0.to_string();
-                *running.entry((id, t.attempt)).or_insert(0) += 1;
+        counts
+    }
+
+    /// A running gang that lost a task notices within `gang_peer_s`.
+    fn note_torn_gangs(&mut self) {
+        let mut running = self.gang_tasks_in("running");
+        running.retain(|(id, _), n| self.jobs.get(id).is_some_and(|j| j.gang && *n < j.tasks));
+        self.torn.retain(|gang, _| running.contains_key(gang));
+        for gang in running.into_keys() {
+            self.torn.entry(gang).or_insert(self.now);
+        }
+    }
+
+    /// The tasks of a hanging machine stand still, too, and count as there.
+    fn tick_hung_worker(&mut self, name: &str) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        for task in worker.tasks.iter_mut().filter(|t| t.state != "ended") {
+            task.until += 10;
+            let (id, _) = task.name.rsplit_once('/').expect("name");
+            let cancelled_at = self.jobs.get(id).and_then(|job| job.cancelled_at);
+            if cancelled_at.is_some_and(|at| now > at + CANCEL_MS) {
+                self.broken.push(format!("ran_cancelled: {}", task.name));
             }
         }
-        running.retain(|(id, _), n| self.jobs.get(id).is_some_and(|j| j.gang && *n < j.tasks));
-        self.torn.retain(|k, _| running.contains_key(k));
-        for k in running.into_keys() {
-            self.torn.entry(k).or_insert(now);
+    }
+
+    /// Without an answer for a lease all tasks are killed.
+    fn end_lost_session(&mut self, name: &str) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if now > worker.acked + LEASE_MS {
+            let live = worker.tasks.iter().filter(|t| t.state != "ended");
+            worker.killed += live.count() as u64;
+            worker.tasks.clear();
+            worker.session += 1;
+            worker.acked = now;
+            worker.changed = true;
+            worker.waiting = None;
         }
-        let mut out = Vec::new();
-        for w in self.workers.values_mut() {
-            if self.hung.contains_key(&w.machine) {
-                // Its tasks stand still, too, and count as there.
-                for t in w.tasks.iter_mut().filter(|t| t.state != "ended") {
-                    t.until += 10;
-                    let (id, _) = t.name.rsplit_once('/').expect("name");
-                    let cancelled = self.jobs.get(id).and_then(|j| j.cancelled_at);
-                    if cancelled.is_some_and(|c| now > c + 60_000) {
-                        self.broken.push(format!("ran_cancelled: {}", t.name));
-                    }
-                }
+    }
+
+    fn tick_tasks(&mut self, name: &str, waiting: &HashMap<(String, u64), u32>) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        for task in worker.tasks.iter_mut() {
+            let (id, number) = task.name.rsplit_once('/').expect("name");
+            let Some(job) = self.jobs.get_mut(id) else {
                 continue;
+            };
+            let overdue = job.cancelled_at.is_some_and(|at| now > at + CANCEL_MS);
+            if overdue && task.state != "ended" {
+                self.broken.push(format!("ran_cancelled: {}", task.name));
             }
-            if now > w.acked + 36_000 {
-                w.killed += w.tasks.iter().filter(|t| t.state != "ended").count() as u64;
-                w.tasks.clear();
-                w.session += 1;
-                w.acked = now;
-                w.changed = true;
-                w.waiting = None;
-            }
-            for t in w.tasks.iter_mut() {
-                let (id, n) = t.name.rsplit_once('/').expect("name");
-                let Some(j) = self.jobs.get_mut(id) else {
-                    continue;
-                };
-                if j.cancelled_at.is_some_and(|c| now > c + 60_000) && t.state != "ended" {
-                    self.broken.push(format!("ran_cancelled: {}", t.name));
+            let gang = (id.to_string(), task.attempt);
+            let torn = self.torn.get(&gang);
+            match task.state {
+                "running" if torn.is_some_and(|since| now >= since + GANG_PEER_MS) => {
+                    task.state = "ended";
+                    task.cause = Some("mates_gone");
                 }
-                let torn = self.torn.get(&(id.to_string(), t.attempt));
-                match t.state {
-                    "running" if torn.is_some_and(|since| now >= since + 4000) => {
-                        t.state = "ended";
-                        t.cause = Some("mates_gone");
-                        w.changed = true;
-                    }
-                    "pulling" if now >= t.until => {
-                        t.state = if j.gang { "gathering" } else { "running" };
-                        t.until = now + j.run_ms;
-                        w.changed = true;
-                    }
-                    "gathering" if waiting.get(&(id.to_string(), t.attempt)) == Some(&j.tasks) => {
-                        t.state = "running";
-                        t.until = now + j.run_ms;
-                        w.changed = true;
-                    }
-                    // `gang_wait_s` is 35.
-                    "gathering" if now >= t.until - j.run_ms + 35_000 => {
-                        t.state = "ended";
-                        t.cause = Some("alone");
-                        w.changed = true;
-                    }
-                    "running" if now >= t.until => {
-                        t.state = "ended";
-                        t.cause = Some("done");
-                        if j.gang {
-                            // They complete together.
-                            j.done = (0..j.tasks).collect();
-                        }
-                        j.done.insert(n.parse().expect("a number"));
-                        w.changed = true;
-                    }
-                    _ => {}
+                "pulling" if now >= task.until => {
+                    task.state = if job.gang { "gathering" } else { "running" };
+                    task.until = now + job.run_ms;
                 }
-            }
-            if let Some((_, sent)) = w.waiting {
-                if now > sent + 4000 {
-                    w.waiting = None;
-                    w.to = (w.to + 1) % 3;
-                    w.next = now + 1000;
+                // Gangs begin once all of them wait under one attempt.
+                "gathering" if waiting.get(&gang) == Some(&job.tasks) => {
+                    task.state = "running";
+                    task.until = now + job.run_ms;
+                }
+                "gathering" if now >= task.until - job.run_ms + GANG_WAIT_MS => {
+                    task.state = "ended";
+                    task.cause = Some("alone");
                 }
+                "running" if now >= task.until => {
+                    task.state = "ended";
+                    task.cause = Some("done");
+                    if job.gang {
+                        // They complete together.
+                        job.done = (0..job.tasks).collect();
+                    }
+                    job.done.insert(number.parse().expect("a number"));
+                }
+                _ => continue,
             }
-            let due = now >= w.next || (w.changed && now >= w.next.saturating_sub(2500));
-            if w.waiting.is_none() && due {
-                w.changed = false;
-                w.next = now + 3000;
-                let r = w.report(&machines[&w.machine]);
-                w.waiting = Some((r.serial, now));
-                out.push(Msg::Checkin {
-                    machine: w.machine.clone(),
-                    serial: r.serial,
-                    to: w.to,
-                    body: wire::encode(&r),
-                    copy: false,
-                });
+            worker.changed = true;
+        }
+    }
+
+    /// A worker's next check-in, if it is due.
+    fn checkin(&mut self, name: &str) -> Option<Msg> {
+        let now = self.now;
+        let worker = self.workers.get_mut(name)?;
+        if let Some((_, sent_at)) = worker.waiting {
+            if now > sent_at + ANSWER_MS {
+                worker.waiting = None;
+                worker.to = (worker.to + 1) % 3;
+                worker.next = now + 1000;
             }
         }
-        for m in out {
-            self.send(1, m);
+        let changed = worker.changed && now >= worker.next.saturating_sub(2500);
+        if worker.waiting.is_some() || !(changed || now >= worker.next) {
+            return None;
         }
+        worker.changed = false;
+        worker.next = now + REPORT_MS;
+        let report = worker.report(&self.cloud.machines[name]);
+        worker.waiting = Some((report.serial, now));
+        Some(Msg::Checkin {
+            machine: name.to_string(),
+            serial: report.serial,
+            to: worker.to,
+            body: wire::encode(&report),
+            copy: false,
+        })
     }
 }
--- a/tests/parts/machine.rs
+++ b/tests/parts/machine.rs
@@ -4,7 +4,7 @@
 use gaugesill::machine::RecordedTask;
 use gaugesill::plan::Resources;
 
-/// A look for strays is remembered, since each plan asks for them on all machines;
+/// A look for orphans is remembered, since each plan asks for them on all machines;
 /// what a record stops naming is one again.
 #[test]
 fn orphans_are_found_anew_once_a_record_changes() {
--- a/tests/parts/reports.rs
+++ b/tests/parts/reports.rs
@@ -305,7 +305,7 @@
     );
 }
 
-/// What comes by itself is not asked for by a controller that is swamped.
+/// What comes by itself is not asked for by a controller that is overloaded.
 #[test]
 fn an_overloaded_leader_sends_no_probes() {
     let asks = |waited: u64| {
--- a/tests/parts/support.rs
+++ b/tests/parts/support.rs
@@ -217,7 +217,7 @@
     }
 }
 
-/// A successor's mind: `tasks` of run-1, an array or a gang, on m-0 under attempt 1.
+/// A successor's state: `tasks` of run-1, an array or a gang, on m-0 under attempt 1.
 pub fn successor(shape: Shape, tasks: u32) -> Scheduler {
     let mut c = control("[]");
     let mut record = JobRecord::new(spec(shape, tasks, 1.0, Priority::Low), 1_000_000);
--- a/tests/parts/write_queue.rs
+++ b/tests/parts/write_queue.rs
@@ -43,7 +43,7 @@
     assert!(out.iter().all(|o| o.1 == CommitResult::Unknown));
 }
 
-/// Found on a day of close looks, with jobs called off as they end: the leader
+/// Found on a day of close looks, with jobs cancelled as they end: the leader
 /// had a user's cancellation and the end of the same job in one transaction. Both
 /// conditions held, both were told to have been made, and the end undid the
 /// cancellation.
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -1,6 +1,6 @@
 //! Jobs that need others: pipelines, their cancellations, and each meeting of two
 //! troubles upon them. The stand-ins break a test when a task starts before all that its
-//! job needs is done, or when a job whose dependency was called off is still called
+//! job needs is done, or when a job whose dependency was cancelled is still called
 //! pending.
 
 mod common;
@@ -232,7 +232,7 @@
     assert!(wire::readable(&body).contains("too long to be kept"));
 }
 
-/// A job of a pipeline is called off at each moment: all that need it are cancelled with
+/// A job of a pipeline is cancelled at each moment: all that need it are cancelled with
 /// it, at once and everywhere, and nothing that does not need it; if it is done by then,
 /// they go on.
 #[test]
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -89,7 +89,7 @@
         w.state.handle(method, path, body, t)
     };
     match served {
-        Served::Timestamp(status, body) => (status, body),
+        Served::Now(status, body) => (status, body),
         Served::Wait(under, from, until) => loop {
             std::thread::sleep(Duration::from_millis(5));
             let mut w = w.lock().expect("lock");
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -515,7 +515,7 @@
 }
 
 /// The limits fall at each step of jobs' lives, during an election, with large records
-/// stored, and while jobs are called off: nothing is refused for its size, lost or stuck.
+/// stored, and while jobs are cancelled: nothing is refused for its size, lost or stuck.
 #[test]
 fn limits_fall_at_every_step() {
     let mut largest = 0;
