The fence is raised where a transaction can hold it; two changes a transaction are enough

Cause: an election that keeps the version in production out takes three changes, and settings that allow two a transaction were refused at the start, which they were not before.

Change: the superseded key is written once, with the first such election, and not at all where a transaction is too small for it. Settings with two changes a transaction are taken again.

--- a/src/leader_lease.rs
+++ b/src/leader_lease.rs
@@ -1,6 +1,7 @@
 //! The leader lease: one key in the state service that lives as long as its holder's
 //! grant, and an epoch that rises with each election and fences earlier leaders.
 
+use crate::job::PACKED_FORMAT;
 use crate::replica::{LeaderKey, Replica};
 use crate::settings::{ClusterSettings, OperatorSettings};
 
@@ -21,6 +22,21 @@
     (life * 1000.0) as u64
 }
 
+/// How an election keeps the version in production from leading.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fence {
+    /// Not at all: that version may run and lead.
+    None,
+    /// The lease is held by the key that it does not know, and the one that it knows is
+    /// superseded in the same transaction.
+    Raise,
+    /// The lease is held by the key that it does not know; the other is superseded already.
+    Raised,
+}
+
+/// Changes of the transaction that raises the fence.
+const RAISE_WRITES: usize = 3;
+
 /// A request to the state service.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LeaseRequest {
@@ -38,8 +54,8 @@
         lease_version: u64,
         /// The version of [`crate::replica::EPOCH_KEY`].
         epoch_version: u64,
-        /// By the key that the version in production does not know.
-        fenced: bool,
+        /// How the key is kept from the version in production.
+        fence: Fence,
     },
     /// Renew this grant.
     Renew(u64),
@@ -105,11 +121,14 @@
     next_request_at: u64,
     /// Until then others are to try first.
     standby_until: u64,
+    /// Most changes of a transaction.
+    writes_max: usize,
 }
 
 impl LeaderLease {
-    /// A controller that follows.
-    pub fn new(member: &str, life_ms: u64) -> LeaderLease {
+    /// A controller that follows. `writes_max`: most changes of a transaction, now and
+    /// under limits to come.
+    pub fn new(member: &str, life_ms: u64, writes_max: usize) -> LeaderLease {
         LeaderLease {
             member: member.to_string(),
             life_ms: life_ms.max(LIFE_MIN_MS),
@@ -118,6 +137,7 @@
             renewed_at: 0,
             next_request_at: 0,
             standby_until: 0,
+            writes_max,
         }
     }
 
@@ -157,7 +177,7 @@
                     self.next_request_at = now + pause as u64;
                     return Some(LeaseRequest::Revoke(grant));
                 }
-                election(grant, replica)
+                election(grant, replica, self.writes_max)
             }
             LeaseState::Leading { grant, .. } => LeaseRequest::Renew(grant),
         };
@@ -236,7 +256,15 @@
     }
 }
 
-fn election(grant: u64, replica: &Replica) -> LeaseRequest {
+fn election(grant: u64, replica: &Replica, writes_max: usize) -> LeaseRequest {
+    // Where a transaction is too small for it, the fence stays down.
+    let fence = if replica.is_superseded() {
+        Fence::Raised
+    } else if replica.format >= PACKED_FORMAT && writes_max >= RAISE_WRITES {
+        Fence::Raise
+    } else {
+        Fence::None
+    };
     let version = |key: &Option<(LeaderKey, u64)>| key.as_ref().map_or(0, |key| key.1);
     LeaseRequest::Elect {
         grant,
@@ -244,6 +272,6 @@
         leader_version: version(&replica.leader_key),
         lease_version: version(&replica.lease_key),
         epoch_version: replica.epoch_version,
-        fenced: replica.fenced(),
+        fence,
     }
 }
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -4,7 +4,7 @@
 
 use super::calls::{HttpCall, PendingCall};
 use super::{Node, WriteOwner};
-use crate::leader_lease::{LeaseRequest, LeaseResponse};
+use crate::leader_lease::{Fence, LeaseRequest, LeaseResponse};
 use crate::net::Outcome;
 use crate::replica::{LeaderKey, EPOCH_KEY, LEADER_KEY, LEASE_KEY};
 use crate::scheduler::{Scheduler, Term};
@@ -63,8 +63,11 @@
         let changed = self.lease.on_response(now, response);
         if let LeaseResponse::Elected { epoch, version } = response {
             if changed {
-                let fenced = matches!(request, LeaseRequest::Elect { fenced: true, .. });
-                self.on_elected(epoch, version, fenced);
+                let fence = match request {
+                    LeaseRequest::Elect { fence, .. } => fence,
+                    _ => Fence::None,
+                };
+                self.on_elected(epoch, version, fence);
             }
         } else if changed {
             self.step_down("the grant has run out");
@@ -72,17 +75,20 @@
         self.lease_tick();
     }
 
-    fn on_elected(&mut self, epoch: u64, version: u64, fenced: bool) {
+    fn on_elected(&mut self, epoch: u64, version: u64, fence: Fence) {
         let member = self.settings.member.clone();
         let key = LeaderKey {
             member: member.clone(),
             epoch,
         };
-        self.replica.elected(key, version, fenced);
+        self.replica.elected(key, version, fence);
         self.pending_term = Some(Term {
             member,
             epoch,
-            key: if fenced { LEASE_KEY } else { LEADER_KEY },
+            key: match fence {
+                Fence::None => LEADER_KEY,
+                Fence::Raise | Fence::Raised => LEASE_KEY,
+            },
             key_version: version,
             began_wall_ms: self.now.wall,
         });
@@ -149,7 +155,7 @@
         leader_version,
         lease_version,
         epoch_version,
-        fenced,
+        fence,
     } = request
     else {
         return transaction;
@@ -159,12 +165,14 @@
         epoch: *epoch,
     };
     let writes = &mut transaction.writes;
-    if *fenced {
+    if *fence == Fence::Raise {
         writes.push(Write::leader(LEADER_KEY, &LeaderKey::superseded(), None));
-        writes.push(Write::leader(LEASE_KEY, &key, Some(*grant)));
-    } else {
-        writes.push(Write::leader(LEADER_KEY, &key, Some(*grant)));
     }
+    let own_key = match fence {
+        Fence::None => LEADER_KEY,
+        Fence::Raise | Fence::Raised => LEASE_KEY,
+    };
+    writes.push(Write::leader(own_key, &key, Some(*grant)));
     writes.push(Write::set(EPOCH_KEY.into(), (*epoch).into()));
     transaction.conditions = vec![
         Condition::new(LEADER_KEY, *leader_version),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -168,7 +168,7 @@
             replication: Replication::default(),
             state_requests: TokenBucket::new(follower_requests),
             writes: WriteQueue::new(follower_writes, follower_writes, state.txn_ops),
-            lease: LeaderLease::new(&settings.member, life_ms),
+            lease: LeaderLease::new(&settings.member, life_ms, state.lowered().txn_ops),
             pending_term: None,
             scheduler: None,
             format_state: FormatState::default(),
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -9,7 +9,8 @@
 use tracing::error;
 
 use crate::dependencies::{DependencyEvent, DependencyGraph, DependencyState};
-use crate::job::{FinalState, JobRecord, PACKED_FORMAT};
+use crate::job::{FinalState, JobRecord};
+use crate::leader_lease::Fence;
 use crate::wire::{KeyChange, Page};
 
 /// All keys of this service.
@@ -146,21 +147,24 @@
             .or(unfenced.filter(|key| key.0.member != SUPERSEDED))
     }
 
-    /// Leaders are elected by [`LEASE_KEY`], out of reach of the version in production.
-    pub fn fenced(&self) -> bool {
+    /// Whether leaders are elected by [`LEASE_KEY`], out of reach of the version in
+    /// production.
+    pub fn is_superseded(&self) -> bool {
         let leader = self.leader_key.as_ref();
-        self.format >= PACKED_FORMAT || leader.is_some_and(|key| key.0.member == SUPERSEDED)
+        leader.is_some_and(|key| key.0.member == SUPERSEDED)
     }
 
     /// An election of ours was carried out.
-    pub fn elected(&mut self, key: LeaderKey, version: u64, fenced: bool) {
+    pub fn elected(&mut self, key: LeaderKey, version: u64, fence: Fence) {
         self.epoch = key.epoch;
         self.epoch_version = version;
-        if fenced {
-            self.leader_key = Some((LeaderKey::superseded(), version));
-            self.lease_key = Some((key, version));
-        } else {
-            self.leader_key = Some((key, version));
+        match fence {
+            Fence::None => self.leader_key = Some((key, version)),
+            Fence::Raise => {
+                self.leader_key = Some((LeaderKey::superseded(), version));
+                self.lease_key = Some((key, version));
+            }
+            Fence::Raised => self.lease_key = Some((key, version)),
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,8 +11,8 @@
 /// What a value must be able to hold under limits to come, in KiB: a record's fields and a
 /// few dozen of its tasks' places.
 const VALUE_KB_MIN: f64 = 1.0;
-/// Changes of the largest transaction that can't be divided, an election.
-const TXN_OPS_MIN: usize = 3;
+/// Changes of the largest transaction that can't be divided, the end of a job.
+const TXN_OPS_MIN: usize = 2;
 /// Fewest sockets.
 const FD_LIMIT_MIN: usize = 32;
 
@@ -430,6 +430,6 @@
     if value >= TXN_OPS_MIN {
         return Ok(());
     }
-    let problem = format!("must be at least {TXN_OPS_MIN}: an election needs as many");
+    let problem = format!("must be at least {TXN_OPS_MIN}: the end of a job needs as many");
     Err(SettingsError::invalid(field, problem))
 }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -478,6 +478,26 @@
     sim.assert_known();
 }
 
+/// A state service that allows two changes a transaction is served as well, through changes
+/// of leader.
+#[test]
+fn two_changes_a_transaction_are_enough() {
+    let mut sim = with_limits(r#","next":{"value_kb":2.0,"txn_ops":2,"write_rps":15.0}"#);
+    sim.run(1000);
+    jobs(&mut sim);
+    assert!(sim.until(20_000, |sim| format_of(sim) == Some(1)));
+    sim.state.low = Some(Low { ops: 2, ..LOW });
+    for _ in 0..3 {
+        let leader = sim.leader().expect("a leader");
+        sim.crash(leader, 9000);
+        assert!(sim.until(20_000, |sim| sim.leader().is_some_and(|l| l != leader)));
+    }
+    sim.finish(120_000);
+    sim.assert_sound();
+    sim.assert_known();
+    assert_eq!(sim.state.too_large, 0);
+}
+
 /// A version that finds a later format than it knows writes nothing, leads nowhere, and
 /// sends its users away with a time to come back instead of telling them that jobs are
 /// unknown.
