duty-lease: duties are spread over the live controllers and stay where they are

Need: a duty must not move when a controller comes and goes within a moment, and operators must be able to move it. Change: assign, a pure function, with its tests and properties.

--- a/crates/duty-lease/src/lib.rs
+++ b/crates/duty-lease/src/lib.rs
@@ -16,11 +16,13 @@
 //! All types take events and the time and return actions. They know no sockets and no
 //! clocks, and behave the same each time.
 
+mod assignment;
 mod intent;
 mod lease;
 mod order_book;
 mod timing;
 
+pub use assignment::{assign, AssignmentRules, LiveMember};
 pub use intent::{Intent, IntentState, Need, Order, OrderId, OrderResult};
 pub use lease::{
     DutyLease, HolderKey, LeaseEvent, LeaseRequest, LeaseResponse, LeaseView, LossReason,
--- /dev/null
+++ b/crates/duty-lease/tests/assignment.rs
@@ -0,0 +1,100 @@
+//! Where duties are to be.
+
+use std::collections::BTreeMap;
+
+use duty_lease::{assign, AssignmentRules, Duty, LiveMember};
+use proptest::prelude::*;
+
+const SETTLE_MS: u64 = 5000;
+
+fn rules() -> AssignmentRules {
+    AssignmentRules {
+        settle_ms: SETTLE_MS,
+        pinned: BTreeMap::new(),
+    }
+}
+
+fn member(number: u8, live_for_ms: u64) -> LiveMember {
+    LiveMember {
+        name: format!("c{number}"),
+        live_for_ms,
+    }
+}
+
+fn settled(numbers: &[u8]) -> Vec<LiveMember> {
+    numbers.iter().map(|n| member(*n, 2 * SETTLE_MS)).collect()
+}
+
+fn loads(assigned: &BTreeMap<Duty, String>) -> BTreeMap<&str, usize> {
+    let mut loads = BTreeMap::new();
+    for name in assigned.values() {
+        *loads.entry(name.as_str()).or_insert(0) += 1;
+    }
+    loads
+}
+
+/// A controller that comes and goes within a moment moves nothing; one that has come to
+/// stay gets its part; one that has gone loses what it had, and nobody else anything.
+#[test]
+fn duties_move_only_for_a_reason() {
+    let before = assign(&Duty::ALL, &settled(&[0, 1]), &BTreeMap::new(), &rules());
+    assert_eq!(loads(&before), BTreeMap::from([("c0", 2), ("c1", 2)]));
+    let mut live = settled(&[0, 1]);
+    live.push(member(2, 100));
+    assert_eq!(assign(&Duty::ALL, &live, &before, &rules()), before);
+    let three = assign(&Duty::ALL, &settled(&[0, 1, 2]), &before, &rules());
+    let moved = before
+        .iter()
+        .filter(|(d, name)| three[*d] != **name)
+        .count();
+    assert_eq!(moved, 1, "one duty moves, not all");
+    let gone = assign(&Duty::ALL, &settled(&[0, 2]), &three, &rules());
+    for (duty, name) in three.iter().filter(|(_, name)| *name != "c1") {
+        assert_eq!(gone[duty], *name);
+    }
+}
+
+/// Operators move a duty, and it stays there while that controller is live.
+#[test]
+fn operators_move_duties() {
+    let present = assign(&Duty::ALL, &settled(&[0, 1]), &BTreeMap::new(), &rules());
+    let mut rules = rules();
+    for duty in Duty::ALL {
+        rules.pinned.insert(duty, "c1".into());
+    }
+    let moved = assign(&Duty::ALL, &settled(&[0, 1]), &present, &rules);
+    assert!(moved.values().all(|name| name == "c1"));
+    let alone = assign(&Duty::ALL, &settled(&[0]), &moved, &rules);
+    assert!(alone.values().all(|name| name == "c0"), "c1 is gone");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(21),
+        ..ProptestConfig::default()
+    })]
+
+    /// Whoever is live: each duty is with a live controller, nobody settled has two less
+    /// than another, and the same again moves nothing.
+    #[test]
+    fn assignments_are_complete_balanced_and_stable(
+        live in prop::collection::btree_map(0..5u8, 0..2 * SETTLE_MS, 1..5),
+        present in prop::collection::btree_map(0..4usize, 0..6u8, 0..4),
+    ) {
+        let live: Vec<LiveMember> = live.into_iter().map(|(n, ms)| member(n, ms)).collect();
+        let present = present.into_iter().map(|(d, n)| (Duty::ALL[d], format!("c{n}"))).collect();
+        let assigned = assign(&Duty::ALL, &live, &present, &rules());
+        prop_assert_eq!(assigned.len(), Duty::ALL.len());
+        let loads = loads(&assigned);
+        for (name, load) in &loads {
+            prop_assert!(live.iter().any(|m| m.name == *name));
+            for other in live.iter().filter(|m| m.live_for_ms >= SETTLE_MS) {
+                let others = loads.get(other.name.as_str()).copied().unwrap_or(0);
+                prop_assert!(*load < others + 2, "{:?}", assigned);
+            }
+        }
+        prop_assert_eq!(assign(&Duty::ALL, &live, &assigned, &rules()), assigned);
+    }
+}
