--- a/src/scheduler/machine_views.rs
+++ b/src/scheduler/machine_views.rs
@@ -1,5 +1,6 @@
 //! What the planner sees of machines.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use super::Scheduler;
@@ -47,11 +48,21 @@
         free
     }
 
-    /// Views of the machines that may have work; those that have not changed are kept.
-    pub(super) fn machine_views(&mut self, now: u64, now_s: f64) -> Vec<Arc<MachineView>> {
+    /// Views of the machines that may have work; those that have not changed are kept. With
+    /// them the names of those that no gang may count on.
+    pub(super) fn machine_views(
+        &mut self,
+        now: u64,
+        now_s: f64,
+    ) -> (Vec<Arc<MachineView>>, HashSet<Arc<str>>) {
         let mut views = Vec::with_capacity(self.machines.len());
         let mut renewed = Vec::new();
+        let mut unreliable = HashSet::new();
         for (name, machine) in &self.machines {
+            if !machine.is_retained() {
+                unreliable.insert(machine.name.clone());
+                continue;
+            }
             if !self.is_placeable(machine, now) {
                 continue;
             }
@@ -68,7 +79,7 @@
                 machine.view = Some(view);
             }
         }
-        views
+        (views, unreliable)
     }
 
     pub(super) fn view_of_machine(
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -35,8 +35,8 @@
         let mut suitable: Vec<(&Machine, usize)> = self
             .machines
             .values()
-            .filter(|machine| !reserve.machines.contains(&machine.name))
             .filter_map(|machine| Some((machine, self.places_in_reserve(machine, arrivals)?)))
+            .filter(|(machine, _)| !reserve.machines.contains(&machine.name))
             .collect();
         // The more images are there already, the sooner work begins.
         suitable.sort_by(|(a, _), (b, _)| {
@@ -64,12 +64,16 @@
     /// How many tasks of a class a machine could hold in the reserve, if any.
     fn places_in_reserve(&self, machine: &Machine, arrivals: &ArrivalRate) -> Option<usize> {
         let spec = &arrivals.spec;
+        // Each plan asks for all machines: what is quick to see goes first.
         let usable = !machine.spot
             && machine.return_reason.is_none()
             && machine.recorded.iter().all(|task| task.spot)
             && is_allowed(spec, &machine.machine_type, &machine.zone, false);
+        if !usable {
+            return None;
+        }
         let machine_type = self.machine_type(&machine.machine_type)?;
         let places = cloud::capacity(machine_type).count_of(Resources::of(spec)) as usize;
-        (usable && places > 0).then_some(places)
+        (places > 0).then_some(places)
     }
 }
--- a/src/scheduler/snapshots.rs
+++ b/src/scheduler/snapshots.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use super::{to_ms, Scheduler};
-use crate::machine::Machine;
 use crate::plan::{JobView, Resources, Snapshot, TeamView};
 
 /// What the views of all jobs need.
@@ -40,11 +39,11 @@
             machine.update_orphans();
         }
         let now_s = wall_ms as f64 / 1000.0;
-        let machines = self.machine_views(now, now_s);
+        let (machines, unreliable) = self.machine_views(now, now_s);
         let context = SnapshotContext {
             now,
             now_s,
-            unreliable: self.unreliable_machines(),
+            unreliable,
             orphan_zones: self.orphan_zones(),
             runs_max: self.runs_max(),
         };
@@ -86,23 +85,19 @@
                 view.gpus_demanded += job.spec.gpus * left;
             }
         }
-        for orphan in self.machines.values().flat_map(Machine::orphans) {
-            let Some(job) = self.jobs.get(&orphan.job) else {
-                continue;
-            };
-            if let Some(view) = views.get_mut(&job.spec.team) {
-                view.add_tasks(Resources::of(&job.spec), 1);
+        for machine in self.machines.values() {
+            for orphan in machine.orphans() {
+                let Some(job) = self.jobs.get(&orphan.job) else {
+                    continue;
+                };
+                if let Some(view) = views.get_mut(&job.spec.team) {
+                    view.add_tasks(Resources::of(&job.spec), 1);
+                }
             }
         }
         views
     }
 
-    fn unreliable_machines(&self) -> HashSet<Arc<str>> {
-        let machines = self.machines.values();
-        let unreliable = machines.filter(|machine| !machine.is_retained());
-        unreliable.map(|machine| machine.name.clone()).collect()
-    }
-
     fn orphan_zones(&self) -> HashMap<String, Vec<Arc<str>>> {
         let mut zones: HashMap<String, Vec<Arc<str>>> = HashMap::new();
         for machine in self.machines.values() {
