duty-lease: an intent on record is open, so it needs no state

Cause: intents carried a state "completed" that nothing ever set, as completing one removes it, and the order book filtered by it. The lease key's own value was put together in two places.

Change: the state is gone, and `own_key` makes the value.

Conclusion: same behaviour; the package is not used by the service yet, so no stored form changes. All tests pass unchanged.

--- a/crates/duty-lease/src/intent.rs
+++ b/crates/duty-lease/src/intent.rs
@@ -54,25 +54,14 @@
     pub version: u64,
 }
 
-/// How far an intent is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum IntentState {
-    /// Its order may have been sent, and may be on its way.
-    Open,
-    /// Its order was carried out, and nothing more is to be done.
-    Completed,
-}
-
-/// An order that was recorded before it was sent.
+/// An order that was recorded before it was sent. While it is on record the order may
+/// have been sent, and may be on its way; it goes once nothing more is to be done.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Intent {
     /// The order's name.
     pub id: OrderId,
     /// The order.
     pub order: Order,
-    /// How far it is.
-    pub state: IntentState,
     /// The version of its key.
     #[serde(skip)]
     pub version: u64,
--- a/crates/duty-lease/src/lease.rs
+++ b/crates/duty-lease/src/lease.rs
@@ -314,10 +314,7 @@
                 let view = self.view.as_ref()?;
                 Some(LeaseRequest::Acquire {
                     grant: *grant,
-                    holder: HolderKey {
-                        member: self.member.clone(),
-                        token: *token,
-                    },
+                    holder: self.own_key(*token),
                     holder_version: view.holder_version,
                     token_version: view.token_version,
                 })
@@ -359,6 +356,14 @@
         true
     }
 
+    /// The lease key's value while this controller holds the duty under a token.
+    fn own_key(&self, token: Token) -> HolderKey {
+        HolderKey {
+            member: self.member.clone(),
+            token,
+        }
+    }
+
     /// Whether nobody holds the duty, or an earlier process with this name.
     fn is_free(&self) -> bool {
         self.view.as_ref().is_some_and(|view| {
@@ -462,11 +467,7 @@
     /// What came of an acquisition without an answer. If it was not carried out, it may
     /// yet be: the grant is ended, without which it can't.
     fn on_unknown_read(&mut self, grant: u64, token: Token, view: &LeaseView, now: u64) {
-        let ours = HolderKey {
-            member: self.member.clone(),
-            token,
-        };
-        if view.holder.as_ref() == Some(&ours) {
+        if view.holder.as_ref() == Some(&self.own_key(token)) {
             self.hold(grant, token, view.holder_version, now, now);
         } else {
             self.state = State::Releasing { grant };
--- a/crates/duty-lease/src/order_book.rs
+++ b/crates/duty-lease/src/order_book.rs
@@ -12,7 +12,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::intent::{Intent, IntentState, Need, OrderId, OrderResult};
+use crate::intent::{Intent, Need, OrderId, OrderResult};
 use crate::{Duty, LeaseTiming, Order, Token};
 
 /// Most orders in progress at a time.
@@ -178,7 +178,7 @@
     /// of earlier holders too, and needs.
     pub fn on_view(&mut self, intents: &[Intent], needs: &[Need]) {
         let Some(tenure) = self.tenure else { return };
-        for intent in intents.iter().filter(|i| i.state == IntentState::Open) {
+        for intent in intents {
             self.take_up(intent);
         }
         for need in needs {
@@ -220,7 +220,6 @@
         let intent = Intent {
             id,
             order: need.order.clone(),
-            state: IntentState::Open,
             version: 0,
         };
         let step = Step::Record { need: need.clone() };
