node, scheduler: one piece each for what stood two or more times

Change: `time_units::to_ms`, `plan::fetch_s`, `HttpCall::get_key`, `record_final_reply`, `Fence::leader_key` and a type `Election` serve all.

Conclusion: same behaviour.

--- a/src/leader_lease.rs
+++ b/src/leader_lease.rs
@@ -2,8 +2,9 @@
 //! grant, and an epoch that rises with each election and fences earlier leaders.
 
 use crate::job::PACKED_FORMAT;
-use crate::replica::{LeaderKey, Replica};
+use crate::replica::{LeaderKey, Replica, LEADER_KEY, LEASE_KEY};
 use crate::settings::{ClusterSettings, OperatorSettings};
+use crate::time_units::to_ms;
 
 /// Processor time that may be asked for at once, as after a takeover: a grant
 /// has to outlast it, however small the share.
@@ -19,7 +20,7 @@
     let life = (lease_s * operator.leader_life_share)
         .max(STALL_CORE_S / cluster.limits.cpu_share)
         .min(lease_s * LIFE_SHARE_MAX);
-    (life * 1000.0) as u64
+    to_ms(life)
 }
 
 /// How an election keeps the version in production from leading.
@@ -34,29 +35,43 @@
     Raised,
 }
 
+impl Fence {
+    /// The key that holds the lease.
+    pub fn leader_key(self) -> &'static str {
+        match self {
+            Fence::None => LEADER_KEY,
+            Fence::Raise | Fence::Raised => LEASE_KEY,
+        }
+    }
+}
+
 /// Changes of the transaction that raises the fence.
 const RAISE_WRITES: usize = 3;
 
+/// What an election goes by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Election {
+    /// The grant that the key is attached to.
+    pub grant: u64,
+    /// The epoch of the new leadership.
+    pub epoch: u64,
+    /// The version of [`LEADER_KEY`].
+    pub leader_version: u64,
+    /// The version of [`LEASE_KEY`].
+    pub lease_version: u64,
+    /// The version of [`crate::replica::EPOCH_KEY`].
+    pub epoch_version: u64,
+    /// How the key is kept from the version in production.
+    pub fence: Fence,
+}
+
 /// A request to the state service.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LeaseRequest {
     /// Ask for a grant.
     Grant,
     /// Take the key and raise the epoch; the keys must still have these versions.
-    Elect {
-        /// The grant that the key is attached to.
-        grant: u64,
-        /// The epoch of the new leadership.
-        epoch: u64,
-        /// The version of [`crate::replica::LEADER_KEY`].
-        leader_version: u64,
-        /// The version of [`crate::replica::LEASE_KEY`].
-        lease_version: u64,
-        /// The version of [`crate::replica::EPOCH_KEY`].
-        epoch_version: u64,
-        /// How the key is kept from the version in production.
-        fence: Fence,
-    },
+    Elect(Election),
     /// Renew this grant.
     Renew(u64),
     /// End this grant.
@@ -177,7 +192,7 @@
                     self.next_request_at = now + pause as u64;
                     return Some(LeaseRequest::Revoke(grant));
                 }
-                election(grant, replica, self.writes_max)
+                LeaseRequest::Elect(election(grant, replica, self.writes_max))
             }
             LeaseState::Leading { grant, .. } => LeaseRequest::Renew(grant),
         };
@@ -256,7 +271,7 @@
     }
 }
 
-fn election(grant: u64, replica: &Replica, writes_max: usize) -> LeaseRequest {
+fn election(grant: u64, replica: &Replica, writes_max: usize) -> Election {
     // Where a transaction is too small for it, the fence stays down.
     let fence = if replica.is_superseded() {
         Fence::Raised
@@ -266,7 +281,7 @@
         Fence::None
     };
     let version = |key: &Option<(LeaderKey, u64)>| key.as_ref().map_or(0, |key| key.1);
-    LeaseRequest::Elect {
+    Election {
         grant,
         epoch: replica.epoch + 1,
         leader_version: version(&replica.leader_key),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod scheduler;
 pub mod serve;
 pub mod settings;
+mod time_units;
 pub mod wire;
 pub mod write_queue;
--- a/src/machine.rs
+++ b/src/machine.rs
@@ -7,6 +7,7 @@
 
 use crate::job::parse_task_name;
 use crate::plan::{MachineView, Reservation, Resources};
+use crate::time_units::to_ms;
 use crate::wire::{self, MachineType, Report};
 
 /// The state of a task on its machine.
@@ -299,8 +300,7 @@
             self.address = report.endpoint.parse().ok().or(self.address);
         }
         self.set_kind(&report.machine_type, &report.zone, report.spot);
-        let reclaim_ms = |in_s: f64| (in_s.max(0.0) * 1000.0) as u64;
-        self.reclaim_at = report.reclaim_in_s.map(|in_s| now + reclaim_ms(in_s));
+        self.reclaim_at = report.reclaim_in_s.map(|in_s| now + to_ms(in_s));
         let reported = reported_tasks(report);
         if reported != self.reported {
             self.reported = reported;
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// A read of a single key of the state service.
+    pub fn get_key(key: &str) -> HttpCall {
+        HttpCall::get(format!("/kv/{key}"), READ_TIMEOUT_MS)
+    }
+
     pub fn post(path: impl Into<String>, body: Vec<u8>, timeout_ms: u64) -> HttpCall {
         HttpCall {
             method: "POST",
--- a/src/node/checkins.rs
+++ b/src/node/checkins.rs
@@ -4,6 +4,7 @@
 
 use super::Node;
 use crate::scheduler::{ReportOrigin, Scheduler};
+use crate::time_units::to_ms;
 use crate::wire::{self, Report};
 
 /// For how long an answer waits for starts, as a share of a report interval.
@@ -43,7 +44,7 @@
     fn knows_recent_cancellations(&self) -> bool {
         let workers = &self.settings.cluster.workers;
         let bound_s = (workers.cancel_s - workers.lease_s) * UNKNOWN_CANCELLATIONS_SHARE;
-        let bound_ms = (bound_s * 1000.0) as u64;
+        let bound_ms = to_ms(bound_s);
         let known_at = self.cancellations_known_at();
         known_at.is_some_and(|at| self.now.steady <= at + bound_ms)
     }
@@ -61,7 +62,7 @@
             self.held_checkins.push(HeldCheckIn {
                 connection,
                 report,
-                until: now + (hold_s * 1000.0) as u64,
+                until: now + to_ms(hold_s),
             });
         } else {
             self.answer_checkin(connection, &report);
--- a/src/node/cloud_sync.rs
+++ b/src/node/cloud_sync.rs
@@ -5,6 +5,7 @@
 use super::calls::{HttpCall, PendingCall};
 use super::Node;
 use crate::net::Outcome;
+use crate::time_units::to_ms;
 use crate::wire::{self, ListedMachine};
 
 /// Most machines that a page of the list holds.
@@ -72,7 +73,7 @@
         if self.scheduler.is_none() || list.read.is_some() || now < list.next_at {
             return;
         }
-        let lag_ms = (self.settings.cluster.cloud.list_lag_s * 1000.0) as u64;
+        let lag_ms = to_ms(self.settings.cluster.cloud.list_lag_s);
         // A long list costs calls and time, and tells little that reports
         // don't: the longer, the rarer.
         let interval_ms = (lag_ms / 2).max(LIST_INTERVAL_MS) * list.pages.max(1);
--- a/src/node/dependencies.rs
+++ b/src/node/dependencies.rs
@@ -3,10 +3,11 @@
 
 use std::collections::BTreeSet;
 
-use super::calls::{HttpCall, PendingCall, READ_TIMEOUT_MS};
+use super::calls::{HttpCall, PendingCall};
 use super::user_types::{RequestStage, UserRequest};
 use super::Node;
 use crate::dependencies::{DependencyEvent, DependencyState};
+use crate::job::FinalState;
 use crate::net::Outcome;
 use crate::replica::{final_key, job_key};
 use crate::wire;
@@ -77,8 +78,7 @@
             dependency,
             is_final,
         };
-        let call = HttpCall::get(format!("/kv/{key}"), READ_TIMEOUT_MS);
-        self.call_state_service(pending, call);
+        self.call_state_service(pending, HttpCall::get_key(&key));
     }
 
     pub(super) fn on_dependency_read(
@@ -130,25 +130,28 @@
                 return;
             }
             self.lookups.in_flight.insert(dependency.clone());
-            let path = format!("/kv/{}", final_key(&dependency));
+            let call = HttpCall::get_key(&final_key(&dependency));
             let pending = PendingCall::LookUpDependency { dependency };
-            self.call_state_service(pending, HttpCall::get(path, READ_TIMEOUT_MS));
+            self.call_state_service(pending, call);
         }
     }
 
     pub(super) fn on_dependency_looked_up(&mut self, dependency: &str, outcome: &Outcome) {
         self.lookups.in_flight.remove(dependency);
         match outcome {
-            Outcome::Answer { status: 200, body } => self.record_final_reply(dependency, body),
+            Outcome::Answer { status: 200, body } => {
+                self.record_final_reply(dependency, body);
+            }
             // Alive, and not in the replica yet; or the service is in trouble.
             _ => self.lookups.next_at = self.now.steady + LOOKUP_RETRY_MS,
         }
     }
 
-    fn record_final_reply(&mut self, id: &str, body: &[u8]) {
-        if let Some(state) = wire::final_state_reply(body) {
-            self.replica.record_final(id, state);
-            self.pass_dependency_events();
-        }
+    /// Takes in how a job ended. `None` if the answer can't be read.
+    pub(super) fn record_final_reply(&mut self, id: &str, body: &[u8]) -> Option<FinalState> {
+        let state = wire::final_state_reply(body)?;
+        self.replica.record_final(id, state);
+        self.pass_dependency_events();
+        Some(state)
     }
 }
--- a/src/node/format_version.rs
+++ b/src/node/format_version.rs
@@ -15,6 +15,7 @@
 use crate::net::Outcome;
 use crate::replica::{member_key, FORMAT_KEY};
 use crate::settings::StateLimits;
+use crate::time_units::to_ms;
 use crate::wire::{self, Condition, Write};
 use crate::write_queue::{WriteClass, WriteRequest};
 
@@ -99,7 +100,7 @@
             return;
         }
         let pause_s = self.settings.cluster.workers.report_s * RETRY_REPORTS;
-        self.format_state.next_write_at = now + (pause_s * 1000.0) as u64;
+        self.format_state.next_write_at = now + to_ms(pause_s);
         let is_known = self.replica.members.contains(&self.settings.member);
         let all_known = is_known && self.do_all_run_this_version();
         let (conditions, key) =
@@ -146,7 +147,7 @@
             }
             429 if self.format() < PACKED_FORMAT => {
                 let spell_s = self.settings.cluster.workers.report_s * SCARCE_REPORTS;
-                let spell_ms = (spell_s * 1000.0) as u64;
+                let spell_ms = to_ms(spell_s);
                 self.format_state.scarce_until = self.now.steady + spell_ms;
                 self.on_format_changed();
             }
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -4,7 +4,7 @@
 
 use super::calls::{HttpCall, PendingCall};
 use super::{Node, WriteOwner};
-use crate::leader_lease::{Fence, LeaseRequest, LeaseResponse};
+use crate::leader_lease::{Election, Fence, LeaseRequest, LeaseResponse};
 use crate::net::Outcome;
 use crate::replica::{LeaderKey, EPOCH_KEY, LEADER_KEY, LEASE_KEY};
 use crate::scheduler::{Scheduler, Term};
@@ -49,8 +49,8 @@
                 };
                 return self.call_state_service(PendingCall::Revoke, call);
             }
-            LeaseRequest::Elect { .. } => {
-                let transaction = election(&request, &self.settings.member);
+            LeaseRequest::Elect(election) => {
+                let transaction = election_transaction(election, &self.settings.member);
                 HttpCall::post("/txn", wire::encode(&transaction), timeout_ms)
             }
         };
@@ -61,16 +61,14 @@
         let now = self.now.steady;
         let response = response_to(&request, outcome);
         let changed = self.lease.on_response(now, response);
-        if let LeaseResponse::Elected { epoch, version } = response {
-            if changed {
-                let fence = match request {
-                    LeaseRequest::Elect { fence, .. } => fence,
-                    _ => Fence::None,
-                };
-                self.on_elected(epoch, version, fence);
+        match (request, response) {
+            (LeaseRequest::Elect(election), LeaseResponse::Elected { epoch, version })
+                if changed =>
+            {
+                self.on_elected(epoch, version, election.fence);
             }
-        } else if changed {
-            self.step_down("the grant has run out");
+            _ if changed => self.step_down("the grant has run out"),
+            _ => {}
         }
         self.lease_tick();
     }
@@ -85,10 +83,7 @@
         self.pending_term = Some(Term {
             member,
             epoch,
-            key: match fence {
-                Fence::None => LEADER_KEY,
-                Fence::Raise | Fence::Raised => LEASE_KEY,
-            },
+            key: fence.leader_key(),
             key_version: version,
             began_wall_ms: self.now.wall,
         });
@@ -144,42 +139,26 @@
 }
 
 /// The transaction that takes the key and raises the epoch.
-fn election(request: &LeaseRequest, member: &str) -> Transaction {
-    let mut transaction = Transaction {
-        conditions: vec![],
-        writes: vec![],
-    };
-    let LeaseRequest::Elect {
-        grant,
-        epoch,
-        leader_version,
-        lease_version,
-        epoch_version,
-        fence,
-    } = request
-    else {
-        return transaction;
-    };
+fn election_transaction(election: &Election, member: &str) -> Transaction {
     let key = LeaderKey {
         member: member.to_string(),
-        epoch: *epoch,
+        epoch: election.epoch,
     };
-    let writes = &mut transaction.writes;
-    if *fence == Fence::Raise {
+    let mut writes = Vec::new();
+    if election.fence == Fence::Raise {
         writes.push(Write::leader(LEADER_KEY, &LeaderKey::superseded(), None));
     }
-    let own_key = match fence {
-        Fence::None => LEADER_KEY,
-        Fence::Raise | Fence::Raised => LEASE_KEY,
-    };
-    writes.push(Write::leader(own_key, &key, Some(*grant)));
-    writes.push(Write::set(EPOCH_KEY.into(), (*epoch).into()));
-    transaction.conditions = vec![
-        Condition::new(LEADER_KEY, *leader_version),
-        Condition::new(LEASE_KEY, *lease_version),
-        Condition::new(EPOCH_KEY, *epoch_version),
-    ];
-    transaction
+    let own_key = election.fence.leader_key();
+    writes.push(Write::leader(own_key, &key, Some(election.grant)));
+    writes.push(Write::set(EPOCH_KEY.into(), election.epoch.into()));
+    Transaction {
+        conditions: vec![
+            Condition::new(LEADER_KEY, election.leader_version),
+            Condition::new(LEASE_KEY, election.lease_version),
+            Condition::new(EPOCH_KEY, election.epoch_version),
+        ],
+        writes,
+    }
 }
 
 fn response_to(request: &LeaseRequest, outcome: &Outcome) -> LeaseResponse {
@@ -190,16 +169,16 @@
         }
         (LeaseRequest::Renew(_), Outcome::Answer { status: 200, .. }) => LeaseResponse::Renewed,
         (LeaseRequest::Renew(_), Outcome::Answer { status: 404, .. }) => LeaseResponse::Lost,
-        (LeaseRequest::Elect { epoch, .. }, Outcome::Answer { status: 200, body }) => {
+        (LeaseRequest::Elect(election), Outcome::Answer { status: 200, body }) => {
             match wire::decode::<wire::TransactionReply>(body) {
                 Some(reply) => LeaseResponse::Elected {
-                    epoch: *epoch,
+                    epoch: election.epoch,
                     version: reply.revision,
                 },
                 None => LeaseResponse::Unknown,
             }
         }
-        (LeaseRequest::Elect { .. }, Outcome::Answer { .. }) => LeaseResponse::Lost,
+        (LeaseRequest::Elect(_), Outcome::Answer { .. }) => LeaseResponse::Lost,
         _ => LeaseResponse::Unknown,
     }
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -8,6 +8,7 @@
 use super::Node;
 use crate::job::PACKED_FORMAT;
 use crate::mesh::{PeerStatus, STATUS_PATH};
+use crate::time_units::to_ms;
 
 /// How often statuses are exchanged.
 const STATUS_INTERVAL_MS: u64 = 1000;
@@ -62,7 +63,7 @@
     fn status(&self) -> PeerStatus {
         let now = self.now.steady;
         let span_s = self.settings.cluster.workers.report_s * REDIRECTED_REPORTS;
-        let span_ms = (span_s * 1000.0) as u64;
+        let span_ms = to_ms(span_s);
         let lately = |times: &BTreeMap<String, u64>| {
             times.values().filter(|at| now < **at + span_ms).count()
         };
@@ -146,8 +147,8 @@
             peer.status = status;
         }
         if self.is_cut_off_from_workers() {
-            let lease_ms = self.settings.cluster.workers.lease_s * 1000.0;
-            let standby_ms = (lease_ms * STANDBY_LEASE_SHARE) as u64;
+            let lease_s = self.settings.cluster.workers.lease_s;
+            let standby_ms = to_ms(lease_s * STANDBY_LEASE_SHARE);
             let why = "no worker gets through while others turn them away";
             self.resign(why, standby_ms);
         }
@@ -168,7 +169,7 @@
         }
         // Any report, also an old copy, shows that there is a way here.
         let round_s = self.settings.cluster.workers.report_s * ROUND_REPORTS;
-        let round_ms = (round_s * 1000.0) as u64;
+        let round_ms = to_ms(round_s);
         let answered = self.worker_answered_at;
         let reached = answered.is_some_and(|at| now < at + round_ms);
         self.redirected_elsewhere().workers > 0 && !reached
@@ -210,8 +211,8 @@
         self.next_status_at = now + STATUS_INTERVAL_MS;
         self.redirected_workers
             .retain(|_, at| now < *at + REDIRECTED_MEMORY_MS);
-        let cancel_ms = self.settings.cluster.workers.cancel_s * 1000.0;
-        let memory_ms = (cancel_ms * CANCELLED_MEMORY) as u64;
+        let cancel_s = self.settings.cluster.workers.cancel_s;
+        let memory_ms = to_ms(cancel_s * CANCELLED_MEMORY);
         self.told_cancelled.retain(|_, at| now < *at + memory_ms);
         let status = self.status();
         // Its question is about cancellations, so it has to ask itself.
--- a/src/node/user_requests.rs
+++ b/src/node/user_requests.rs
@@ -3,7 +3,7 @@
 use prost::Message;
 use tracing::debug;
 
-use super::calls::{HttpCall, PendingCall, READ_TIMEOUT_MS};
+use super::calls::{HttpCall, PendingCall};
 use super::user_types::{Caller, PendingRequest, RequestStage, TaskCounts, UserRequest};
 use super::{Node, WriteOwner};
 use crate::mesh::{ForwardedRequest, FORWARD_PATH};
@@ -202,7 +202,7 @@
 
     fn read_final(&mut self, user: u64, id: &str) {
         self.set_stage(user, RequestStage::Read);
-        let call = HttpCall::get(format!("/kv/{}", final_key(id)), READ_TIMEOUT_MS);
+        let call = HttpCall::get_key(&final_key(id));
         self.call_state_service(PendingCall::ReadFinal { user }, call);
     }
 
@@ -213,12 +213,8 @@
         match outcome {
             Outcome::Answer { status: 200, body } => {
                 let id = pending.id.clone();
-                match wire::final_state_reply(body) {
-                    Some(state) => {
-                        self.replica.record_final(&id, state);
-                        self.pass_dependency_events();
-                        self.finish_status(user, 200, state.status(), None);
-                    }
+                match self.record_final_reply(&id, body) {
+                    Some(state) => self.finish_status(user, 200, state.status(), None),
                     None => self.finish_user(user, 503, Some(RETRY_AFTER_S), vec![]),
                 }
             }
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -11,7 +11,7 @@
 
 pub use cycle::cycle;
 pub use decision::{Decision, PlannedPlacement, PlannedReservation, PlannedStop, UnmetDemand};
-pub use resources::Resources;
+pub use resources::{fetch_s, Resources};
 pub use snapshot::{
     is_allowed, lowest_priority, tasks_per_zone_max, JobView, MachineView, Reservation, Snapshot,
     TaskView, TeamView, ZoneCounts,
--- a/src/plan/resources.rs
+++ b/src/plan/resources.rs
@@ -93,3 +93,11 @@
             / (2.0 + GPU_WEIGHT)
     }
 }
+
+/// Slowest fetch that is reckoned with, in GB a second.
+const FETCH_MIN_GB_PER_S: f64 = 0.01;
+
+/// How long the fetch of an image should take.
+pub fn fetch_s(image_gb: f64, fetch_gb_per_s: f64) -> f64 {
+    image_gb / fetch_gb_per_s.max(FETCH_MIN_GB_PER_S)
+}
--- a/src/plan/search.rs
+++ b/src/plan/search.rs
@@ -4,12 +4,9 @@
 use std::collections::{BinaryHeap, HashMap, HashSet};
 
 use super::cycle_state::{CycleState, TaskIndex};
-use super::resources::Resources;
+use super::resources::{fetch_s, Resources};
 use super::snapshot::{is_allowed, tasks_per_zone_max, JobView, ZoneCounts};
 
-/// Slowest fetch that is reckoned with, in GB a second.
-const FETCH_MIN_GB_PER_S: f64 = 0.01;
-
 /// Which machines a job is tried on.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum SearchMode {
@@ -150,7 +147,7 @@
         let fetch_s = if is_fetching || self.has_image(machine, job) {
             0.0
         } else {
-            spec.image_gb / view.fetch_gb_per_s.max(FETCH_MIN_GB_PER_S)
+            fetch_s(spec.image_gb, view.fetch_gb_per_s)
         };
         let penalty_s = if spec.spot && !view.spot {
             self.ordinary_penalty_s
--- a/src/scheduler/gangs.rs
+++ b/src/scheduler/gangs.rs
@@ -4,9 +4,8 @@
 
 use super::{to_ms, Job, Placement, Scheduler};
 use crate::machine::{Machine, TaskPhase};
+use crate::plan::fetch_s;
 
-/// Slowest fetch that is reckoned with, in GB a second.
-const FETCH_MIN_GB_PER_S: f64 = 0.01;
 /// How long a gang may take until all of it has its image: report intervals, and times
 /// that the slowest fetch should take.
 const WAIT_REPORTS: f64 = 4.0;
@@ -32,7 +31,7 @@
             .filter_map(|p| self.machines.get(&*p.machine));
         let slowest_fetch_s = machines
             .filter_map(|machine| self.machine_type(&machine.machine_type))
-            .map(|t| job.spec.image_gb / t.fetch_gb_per_s.max(FETCH_MIN_GB_PER_S))
+            .map(|t| fetch_s(job.spec.image_gb, t.fetch_gb_per_s))
             .fold(0.0, f64::max);
         // Over a slow link the image may take many times as long as it should:
         // stopped in the middle of it each time, the gang would never begin.
--- a/src/scheduler/job_views.rs
+++ b/src/scheduler/job_views.rs
@@ -6,7 +6,7 @@
 use super::snapshots::SnapshotContext;
 use super::{to_ms, Job, Placement, Scheduler};
 use crate::job::PACKED_FORMAT;
-use crate::plan::{JobView, ZoneCounts};
+use crate::plan::{fetch_s, JobView, ZoneCounts};
 
 /// Most tasks of an array that one plan looks at.
 const PENDING_MAX: usize = 256;
@@ -20,8 +20,6 @@
 const TURN_PART: u32 = 4;
 /// For how many fetches of its image an array skips machines without it.
 const SKIP_FETCHES: f64 = 1.0;
-/// Slowest fetch that is reckoned with, in GB a second.
-const FETCH_MIN_GB_PER_S: f64 = 0.01;
 /// A run's numbers and separators in a record that is not packed, and all of the record
 /// that is not runs.
 const RUN_BYTES: f64 = 26.0;
@@ -169,9 +167,11 @@
 
     /// How long an array skips machines without its image.
     pub(super) fn skipping_ms(&self, job: &Job) -> u64 {
-        let rates = self.machine_types.iter().map(|t| t.fetch_gb_per_s);
-        let slowest = rates.fold(f64::INFINITY, f64::min).max(FETCH_MIN_GB_PER_S);
-        to_ms(SKIP_FETCHES * job.spec.image_gb / slowest)
+        let fetch_times = self
+            .machine_types
+            .iter()
+            .map(|t| fetch_s(job.spec.image_gb, t.fetch_gb_per_s));
+        to_ms(SKIP_FETCHES * fetch_times.fold(0.0, f64::max))
     }
 
     /// When a job should start to meet the next of the aims that the settings state for
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 use crate::rate_limit::TokenBucket;
 use crate::replica::Replica;
 use crate::settings::{ClusterSettings, OperatorSettings, StateLimits};
+use crate::time_units::to_ms;
 use crate::wire::{Command, MachineType};
 use arrivals::ArrivalRate;
 use dependency_links::DependencyLinks;
@@ -231,8 +232,3 @@
         .map(|name| name.as_str().into())
         .collect()
 }
-
-/// Seconds as milliseconds; negative ones count as none.
-fn to_ms(seconds: f64) -> u64 {
-    (seconds.max(0.0) * 1000.0) as u64
-}
--- a/tests/parts/leader_lease.rs
+++ b/tests/parts/leader_lease.rs
@@ -1,6 +1,8 @@
 //! The leader lease.
 
-use gaugesill::leader_lease::{lease_life_ms, Fence, LeaderLease, LeaseRequest, LeaseResponse};
+use gaugesill::leader_lease::{
+    lease_life_ms, Election, Fence, LeaderLease, LeaseRequest, LeaseResponse,
+};
 use gaugesill::replica::{LeaderKey, Replica};
 use gaugesill::settings::OperatorSettings;
 
@@ -13,11 +15,11 @@
     l.on_response(110, LeaseResponse::Granted(4));
     assert!(matches!(
         l.tick(110, &p, 0.0),
-        Some(LeaseRequest::Elect {
+        Some(LeaseRequest::Elect(Election {
             epoch: 1,
             leader_version: 0,
             ..
-        })
+        }))
     ));
     assert!(l.on_response(
         120,
@@ -53,10 +55,10 @@
     l.on_response(2, LeaseResponse::Granted(5));
     assert!(matches!(
         l.tick(2, &p, 0.0),
-        Some(LeaseRequest::Elect {
+        Some(LeaseRequest::Elect(Election {
             leader_version: 3,
             ..
-        })
+        }))
     ));
 }
 
@@ -91,7 +93,7 @@
         assert_eq!(lease.tick(1, &replica, 0.0), Some(LeaseRequest::Grant));
         lease.on_response(2, LeaseResponse::Granted(5));
         match lease.tick(2, &replica, 0.0) {
-            Some(LeaseRequest::Elect { fence, .. }) => fence,
+            Some(LeaseRequest::Elect(election)) => election.fence,
             other => panic!("{other:?}"),
         }
     };
