--- a/examples/size.rs
+++ b/examples/size.rs
@@ -110,6 +110,7 @@
     let seat = Seat {
         member: "c0".into(),
         epoch: 1,
+        key: gaugesill::store::LEADER,
         stamp: 1,
         wall: 1_000_000,
     };
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -21,7 +21,7 @@
 };
 use crate::settings::{Cluster, Operator, StateLimits};
 use crate::state::{Budget, Commit};
-use crate::store::{final_key, job_key, Live, Picture, LEADER};
+use crate::store::{final_key, job_key, Live, Picture};
 use crate::wire::{self, Cond, Flavor, Order, Report, Write};
 
 /// One start that went straight to a worker.
@@ -275,7 +275,9 @@
 pub struct Seat {
     pub member: String,
     pub epoch: u64,
-    /// Of the leader key.
+    /// The key that is ours as long as we lead.
+    pub key: &'static str,
+    /// Its stamp.
     pub stamp: u64,
     /// Time of day when it began, in milliseconds.
     pub wall: u64,
@@ -289,6 +291,7 @@
 pub struct Control {
     me: String,
     pub epoch: u64,
+    leader_key: &'static str,
     leader_stamp: u64,
     /// Time of day when this leadership began.
     wall: u64,
@@ -437,6 +440,7 @@
         let mut c = Control {
             me: seat.member,
             epoch: seat.epoch,
+            leader_key: seat.key,
             leader_stamp: seat.stamp,
             wall: seat.wall,
             cl: cl.clone(),
@@ -888,14 +892,8 @@
             };
             let end = j.over();
             let conds = vec![
-                Cond {
-                    key: LEADER.into(),
-                    stamp: self.leader_stamp,
-                },
-                Cond {
-                    key: job_key(&id),
-                    stamp: j.stamp,
-                },
+                Cond::new(self.leader_key, self.leader_stamp),
+                Cond::new(job_key(&id), j.stamp),
             ];
             let writes = match end {
                 Some(f) => vec![
--- a/src/control/planning.rs
+++ b/src/control/planning.rs
@@ -581,10 +581,13 @@
     /// lists that a submission may have, or the form of records allows for it in advance
     /// (`runs_max`).
     fn fits_record(&self, j: &Job, more: &[(u32, Arc<str>)]) -> bool {
-        let most = (self.cl.state.value_kb * 1024.0) as usize;
+        // Before the limits fall, too: a record stored by then has to be written again, if
+        // only because its job is cancelled.
+        let most = (self.cl.state.lowered().value_kb * 1024.0) as usize;
         let names = more.iter().map(|x| x.1.len()).max().unwrap_or(0);
         let placed = j.placed.len() + more.len();
-        if self.format < PACKED || (placed + 40) * (names + LONGEST_RUN_BYTES) < most / 4 {
+        let falls = self.format >= PACKED || self.cl.state.next.is_some();
+        if !falls || (placed + 40) * (names + LONGEST_RUN_BYTES) < most / 4 {
             return true;
         }
         let mut record = j.record(self.epoch);
@@ -597,7 +600,7 @@
         record.runs.sort_by_key(|r| r.0);
         // Ends scattered over the row, and counters that grow.
         let ends = (j.spec.tasks as usize / 4).min(LONGEST_RUN_BYTES * placed);
-        json_len(&record.to_value(self.format)) + ends + COUNTERS_BYTES <= most
+        json_len(&record.to_value(PACKED)) + ends + COUNTERS_BYTES <= most
     }
 
     pub(super) fn place(
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -2,7 +2,7 @@
 //! its holder's grant, and an epoch that rises with each change of hands.
 
 use crate::settings::{Cluster, Operator};
-use crate::store::Picture;
+use crate::store::{LeaderKey, Picture};
 
 /// Processor time that may be asked for at once, as after a takeover: a grant
 /// has to outlast it, however small the share.
@@ -25,7 +25,10 @@
         grant: u64,
         epoch: u64,
         leader_stamp: u64,
+        lease_stamp: u64,
         epoch_stamp: u64,
+        /// By the key that the version in production does not know.
+        fenced: bool,
     },
     Renew(u64),
     Revoke(u64),
@@ -100,7 +103,7 @@
                 if !p.loaded || now < self.rest_until {
                     return None;
                 }
-                let free = match &p.leader {
+                let free = match p.leader() {
                     None => true,
                     // A key of this process' earlier life.
                     Some((l, _)) => l.member == self.me,
@@ -117,21 +120,20 @@
                 Some(Ask::Grant)
             }
             Standing::Elects { grant } => {
-                let leader_stamp = match &p.leader {
-                    None => 0,
-                    Some((l, s)) if l.member == self.me => *s,
-                    Some(_) => {
-                        self.at = Standing::Follows;
-                        self.next = now + (self.life_ms as f64 * (0.1 + 0.1 * jitter)) as u64;
-                        return Some(Ask::Revoke(grant));
-                    }
-                };
+                if p.leader().is_some_and(|(l, _)| l.member != self.me) {
+                    self.at = Standing::Follows;
+                    self.next = now + (self.life_ms as f64 * (0.1 + 0.1 * jitter)) as u64;
+                    return Some(Ask::Revoke(grant));
+                }
+                let stamp = |key: &Option<(LeaderKey, u64)>| key.as_ref().map_or(0, |k| k.1);
                 self.asked = Some(now);
                 Some(Ask::Elect {
                     grant,
                     epoch: p.epoch + 1,
-                    leader_stamp,
+                    leader_stamp: stamp(&p.leader_key),
+                    lease_stamp: stamp(&p.lease_key),
                     epoch_stamp: p.epoch_stamp,
+                    fenced: p.fenced(),
                 })
             }
             Standing::Leads { grant, .. } => {
@@ -194,7 +196,7 @@
         let Standing::Leads { stamp, .. } = self.at else {
             return false;
         };
-        if p.leader.as_ref().is_some_and(|(_, s)| *s == stamp) {
+        if p.leader().is_some_and(|(_, s)| *s == stamp) {
             return false;
         }
         self.at = Standing::Follows;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -28,6 +28,9 @@
     /// state service does not answer.
     #[prost(string, repeated, tag = "6")]
     pub withdrawn: Vec<String>,
+    /// The latest format that this version knows; 0 for the one in production.
+    #[prost(uint64, tag = "7")]
+    pub knows_format: u64,
 }
 
 /// A user's request that the sender can't decide.
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -4,6 +4,9 @@
 
 impl Node {
     pub(super) fn lead_tick(&mut self) {
+        if self.outdated() {
+            return;
+        }
         let jitter = self.rng.random::<f64>();
         if let Some(ask) = self.lead.tick(self.now.steady, &self.picture, jitter) {
             self.lead_ask(ask);
@@ -32,32 +35,30 @@
                 grant,
                 epoch,
                 leader_stamp,
+                lease_stamp,
                 epoch_stamp,
+                fenced,
             } => {
                 let key = LeaderKey {
                     member: self.set.member.clone(),
                     epoch: *epoch,
                 };
-                let mut set = Write::set(
-                    LEADER.into(),
-                    ciborium::Value::serialized(&key).unwrap_or(ciborium::Value::Null),
-                );
-                set.permit = Some(*grant);
+                let mut writes = Vec::new();
+                if *fenced {
+                    writes.push(Write::leader(LEADER, &LeaderKey::superseded(), None));
+                    writes.push(Write::leader(LEASE, &key, Some(*grant)));
+                } else {
+                    writes.push(Write::leader(LEADER, &key, Some(*grant)));
+                }
+                writes.push(Write::set(EPOCH.into(), (*epoch).into()));
+                let conds = [
+                    (LEADER, *leader_stamp),
+                    (LEASE, *lease_stamp),
+                    (EPOCH, *epoch_stamp),
+                ];
                 let txn = wire::Txn {
-                    conds: vec![
-                        Cond {
-                            key: LEADER.into(),
-                            stamp: *leader_stamp,
-                        },
-                        Cond {
-                            key: EPOCH.into(),
-                            stamp: *epoch_stamp,
-                        },
-                    ],
-                    writes: vec![
-                        set,
-                        Write::set(EPOCH.into(), ciborium::Value::Integer((*epoch).into())),
-                    ],
+                    conds: conds.map(|(key, stamp)| Cond::new(key, stamp)).into(),
+                    writes,
                 };
                 let body = wire::encode(&txn);
                 self.state(Call::Lead(ask), "POST", "/txn".into(), body, timeout);
@@ -88,18 +89,16 @@
         let changed = self.lead.told(now, told);
         if let Told::Elected { epoch, stamp } = told {
             if changed {
-                self.picture.leader = Some((
-                    LeaderKey {
-                        member: self.set.member.clone(),
-                        epoch,
-                    },
-                    stamp,
-                ));
-                self.picture.epoch = epoch;
-                self.picture.epoch_stamp = stamp;
+                let fenced = matches!(ask, lead::Ask::Elect { fenced: true, .. });
+                let key = LeaderKey {
+                    member: self.set.member.clone(),
+                    epoch,
+                };
+                self.picture.elected(key, stamp, fenced);
                 self.seat = Some(Seat {
                     member: self.set.member.clone(),
                     epoch,
+                    key: if fenced { LEASE } else { LEADER },
                     stamp,
                     wall: self.now.wall,
                 });
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -16,7 +16,7 @@
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use tracing::{debug, info, trace, warn};
+use tracing::{debug, error, info, trace, warn};
 
 use crate::cloud;
 use crate::control::{Control, Effect, Seat, Start};
@@ -30,7 +30,7 @@
 use crate::state::{Budget, Commit, Item, Queue, LEADERS, USERS};
 use crate::store::{
     final_key, job_key, member_key, LeaderKey, Picture, Seen, EPOCH, FORMAT, JOBS, LEAD, LEADER,
-    ROOT,
+    LEASE, ROOT,
 };
 use crate::wire::{self, Cond, Flavor, Write};
 
@@ -169,6 +169,8 @@
 const PLAN_GAP_MS: u64 = 50;
 const IDLE_PLAN_MS: u64 = 1000;
 const SWAMPED_PLAN_MS: u64 = 1500;
+/// For how long what a controller has said of itself counts, over two of its statuses.
+const HEARD_MS: u64 = 2500;
 const WATCH_MS: u64 = 1000;
 const STATE_MS: u64 = 1500;
 /// A user gives up after 5 s, or 2 s for a poll.
@@ -777,7 +779,7 @@
                 };
                 c.committed(&id, ver, end, &commit, now);
                 if let Commit::Conflict { failed, .. } = &commit {
-                    if failed.iter().any(|k| k == LEADER) {
+                    if failed.iter().any(|k| k == LEADER || k == LEASE) {
                         self.lead.resign(now, 0);
                         self.step_down("a change failed on the leader key");
                     }
--- a/src/node/needs.rs
+++ b/src/node/needs.rs
@@ -6,6 +6,9 @@
 
 /// Ends that are looked up at a time.
 const LOOKS_MAX: usize = 8;
+/// What a task's place takes in a packed record at most, with a machine's name of usual
+/// length of which nothing is left out.
+const PLACE_BYTES: f64 = 16.0;
 /// Part of a value that a job's own fields may take, so that there is room for where
 /// its tasks are.
 const SPEC_SHARE: f64 = 0.6;
@@ -80,11 +83,20 @@
         }
     }
 
-    /// Whether a job's own fields leave room for its tasks' places.
-    pub(super) fn keepable(&self, spec: &Spec) -> bool {
-        let most = self.set.cluster.state.lowered().value_kb * 1024.0 * SPEC_SHARE;
-        let record = Record::new(spec.clone(), self.now.wall).to_value(0);
-        crate::job::json_len(&record) as f64 <= most
+    /// Whether a job's record fits into a value, also under limits to come: its own fields
+    /// beside some places, and for a gang, whose tasks start together, all of its places.
+    pub(super) fn keepable(&self, spec: &Spec) -> Result<(), (u16, &'static str)> {
+        let value = self.set.cluster.state.lowered().value_kb * 1024.0;
+        let fields = Record::new(spec.clone(), self.now.wall).to_value(0);
+        let fields = crate::job::json_len(&fields) as f64;
+        if fields > value * SPEC_SHARE {
+            return Err((400, "its names and lists are too long to be kept"));
+        }
+        let places = f64::from(spec.tasks) * PLACE_BYTES;
+        if spec.shape == Shape::Gang && fields + places > value {
+            return Err((422, "a gang of so many tasks is too large to be kept"));
+        }
+        Ok(())
     }
 
     pub(super) fn look_up_tick(&mut self) {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,6 +1,7 @@
 //! What the other controllers tell, and what follows from it.
 
 use super::*;
+use crate::job::PACKED;
 
 /// A process' age by its own clock may be too high by one part in so many.
 const AGE_ERROR: u64 = 500;
@@ -19,6 +20,7 @@
             turned_away: lately(&self.turned_away) as u32,
             age_ms: self.began.map_or(0, |t| now - t),
             withdrawn: vec![],
+            knows_format: PACKED,
         }
     }
 
--- a/src/node/picture.rs
+++ b/src/node/picture.rs
@@ -63,6 +63,9 @@
                 self.picture.rev,
                 self.picture.jobs.len()
             );
+            if self.outdated() {
+                self.format_changed();
+            }
             self.lead_tick();
         }
     }
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -88,7 +88,7 @@
     /// answer for as long as it is cut off. An outage that all see takes nobody
     /// out.
     pub fn up(&self) -> bool {
-        if !self.picture.loaded {
+        if !self.picture.loaded || self.outdated() {
             return false;
         }
         let alone = !self.peers.is_empty() && self.live_peers().next().is_none();
@@ -130,8 +130,7 @@
         self.turned_away.insert(r.host, now);
         let to = self
             .picture
-            .leader
-            .as_ref()
+            .leader()
             .map(|(l, _)| l.member.clone())
             .filter(|m| *m != self.set.member);
         let body = wire::encode(&wire::Elsewhere { reports_to: to });
@@ -250,7 +249,7 @@
             found: vec![],
             astray: false,
         };
-        if !self.picture.loaded || !self.served() {
+        if !self.picture.loaded || !self.served() || self.outdated() {
             return self.hand(user, p);
         }
         if let Ask::Submit(spec) = &p.ask {
@@ -294,10 +293,7 @@
         if !cloud::can_run(spec, &self.flavors) {
             return Err((422, "fits no allowed machine type"));
         }
-        if !self.keepable(spec) {
-            return Err((400, "its names and lists are too long to be kept"));
-        }
-        Ok(())
+        self.keepable(spec)
     }
 
     pub(super) fn create(&mut self, user: u64, p: &mut Pending) {
@@ -332,7 +328,7 @@
             .find(|k| {
                 self.peers
                     .get(&k.member)
-                    .is_some_and(|v| v.status.served && v.heard.is_some_and(|t| now < t + 2500))
+                    .is_some_and(|v| v.status.served && v.heard.is_some_and(|t| now < t + HEARD_MS))
             })
             .map(|k| k.address);
         let (Some(to), false) = (to, p.caller.handed) else {
--- a/src/node/version.rs
+++ b/src/node/version.rs
@@ -3,8 +3,9 @@
 //!
 //! What that version can't read is written only once it runs nowhere any more. Each
 //! controller makes itself known below `g/l/m/`; once all of the settings' are known
-//! there, the leader raises the format, which never goes down. One that is down or cut
-//! off is not known and counts as old. Before that, a submission that names
+//! there and each has just said that it runs this version, the leader raises the format,
+//! which never goes down. One that is down or cut off counts as old, and so does one that
+//! was put back to the version before. Before that, a submission that names
 //! dependencies or a refusal for a lower limit is proof as well: neither comes before
 //! all run this version.
 
@@ -46,7 +47,20 @@
         }
     }
 
+    /// The state service holds what only a later version than this one can read: it
+    /// neither leads nor answers users, who would be told that jobs are unknown.
+    pub(super) fn outdated(&self) -> bool {
+        self.picture.format > PACKED
+    }
+
     pub(super) fn format_changed(&mut self) {
+        if self.outdated() {
+            error!(
+                "the state service holds format {}, this version knows {PACKED}: it must be replaced",
+                self.picture.format
+            );
+            return self.resign("a later version has taken over", 0);
+        }
         let format = self.format();
         let limits = self.limits();
         if let Some(c) = &mut self.control {
@@ -67,7 +81,7 @@
         let pause = self.set.cluster.workers.report_s * AGAIN_REPORTS;
         self.version_next = now + (pause * 1000.0) as u64;
         let mut known = self.set.known.iter().map(|k| &k.member);
-        let all = known.all(|m| self.picture.members.contains(m));
+        let all = known.all(|m| self.picture.members.contains(m) && self.runs_this_version(m));
         let me = self.picture.members.contains(&self.set.member);
         let raises = self.proven || (me && all && self.control.is_some());
         let (conds, key) = if raises {
@@ -89,6 +103,15 @@
         });
     }
 
+    /// A controller has just said that it runs this version. Its key alone may be older
+    /// than a return to the version before.
+    fn runs_this_version(&self, member: &str) -> bool {
+        self.peers.get(member).is_some_and(|p| {
+            let lately = p.heard.is_some_and(|t| self.now.steady < t + HEARD_MS);
+            lately && p.status.knows_format >= PACKED
+        })
+    }
+
     /// The state service turned a transaction away.
     pub(super) fn refused(&mut self, outcome: &Outcome) {
         let Outcome::Answer { status, body } = outcome else {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -211,6 +211,8 @@
 
 /// What a value must be able to hold under limits to come.
 const VALUE_KB_LEAST: f64 = 1.0;
+/// Changes of the largest transaction that can't be divided, an election.
+const TXN_OPS_LEAST: usize = 3;
 
 fn read(path: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
@@ -266,13 +268,15 @@
         if !c.cloud.list_lag_s.is_finite() || c.cloud.list_lag_s < 0.0 {
             return bad("cluster.cloud.list_lag_s", "must be 0 or more".into());
         }
-        if c.state.txn_ops < 2 {
-            return bad("cluster.state.txn_ops", "must be at least 2".into());
+        if c.state.txn_ops < TXN_OPS_LEAST {
+            let problem = format!("must be at least {TXN_OPS_LEAST}: an election needs as many");
+            return bad("cluster.state.txn_ops", problem);
         }
         let low = c.state.lowered();
         positive("cluster.state.next.write_rps", low.write_rps)?;
-        if low.txn_ops < 2 {
-            return bad("cluster.state.next.txn_ops", "must be at least 2".into());
+        if low.txn_ops < TXN_OPS_LEAST {
+            let problem = format!("must be at least {TXN_OPS_LEAST}: an election needs as many");
+            return bad("cluster.state.next.txn_ops", problem);
         }
         // A record's fields and a few dozen of its tasks' places.
         if low.value_kb < VALUE_KB_LEAST && c.state.next.is_some() {
--- a/src/store.rs
+++ b/src/store.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::deps::{Deps, Known, Then};
-use crate::job::{Final, Record};
+use crate::job::{Final, Record, PACKED};
 use crate::wire::{Change, Page};
 
 pub const ROOT: &str = "g/";
@@ -19,7 +19,15 @@
 pub const FORMAT: &str = "g/l/format";
 /// Controllers that run this version, or a later one.
 const MEMBERS: &str = "g/l/m/";
+/// Held by the leader as long as its grant lives, before format 1. From then on it stays
+/// for good and names [`SUPERSEDED`].
 pub const LEADER: &str = "g/l/leader";
+/// Held by the leader as long as its grant lives, from format 1 on.
+pub const LEASE: &str = "g/l/lease";
+/// The leader that the version in production sees from format 1 on. It is never a member,
+/// so a controller which comes back with that version follows and can't be elected: it
+/// could not read the records.
+pub const SUPERSEDED: &str = "superseded by format 1";
 pub const EPOCH: &str = "g/l/epoch";
 const FINALS: &str = "g/f/";
 /// How many ended jobs are remembered; others are read again when asked for.
@@ -56,6 +64,16 @@
     pub epoch: u64,
 }
 
+impl LeaderKey {
+    /// What [`LEADER`] holds from format 1 on.
+    pub fn superseded() -> LeaderKey {
+        LeaderKey {
+            member: SUPERSEDED.into(),
+            epoch: 0,
+        }
+    }
+}
+
 /// A live job as committed.
 #[derive(Debug, Clone)]
 pub struct Live {
@@ -76,7 +94,10 @@
     pub loaded: bool,
     pub rev: u64,
     pub jobs: BTreeMap<String, Live>,
-    pub leader: Option<(LeaderKey, u64)>,
+    /// The value of [`LEADER`] and its stamp.
+    pub leader_key: Option<(LeaderKey, u64)>,
+    /// The value of [`LEASE`] and its stamp.
+    pub lease_key: Option<(LeaderKey, u64)>,
     pub epoch: u64,
     pub epoch_stamp: u64,
     pub format: u64,
@@ -97,13 +118,40 @@
         self.loaded = false;
         self.rev = 0;
         self.jobs.clear();
-        self.leader = None;
+        self.leader_key = None;
+        self.lease_key = None;
         self.epoch = 0;
         self.epoch_stamp = 0;
         self.deps = Deps::default();
         self.then.clear();
     }
 
+    /// Who leads, and the stamp of the key that says so.
+    pub fn leader(&self) -> Option<&(LeaderKey, u64)> {
+        let unfenced = self.leader_key.as_ref();
+        self.lease_key
+            .as_ref()
+            .or(unfenced.filter(|l| l.0.member != SUPERSEDED))
+    }
+
+    /// Leaders are elected by [`LEASE`], out of reach of the version in production.
+    pub fn fenced(&self) -> bool {
+        let superseded = self.leader_key.as_ref();
+        self.format >= PACKED || superseded.is_some_and(|l| l.0.member == SUPERSEDED)
+    }
+
+    /// An election of ours was carried out.
+    pub fn elected(&mut self, key: LeaderKey, stamp: u64, fenced: bool) {
+        self.epoch = key.epoch;
+        self.epoch_stamp = stamp;
+        if fenced {
+            self.leader_key = Some((LeaderKey::superseded(), stamp));
+            self.lease_key = Some((key, stamp));
+        } else {
+            self.leader_key = Some((key, stamp));
+        }
+    }
+
     /// What changes since the last call mean for jobs that need others.
     pub fn take_then(&mut self) -> Vec<Then> {
         std::mem::take(&mut self.then)
@@ -185,17 +233,19 @@
                 self.ended(id, f);
                 seen.push(Seen::Gone(id.to_string()));
             }
-        } else if key == LEADER {
+        } else if let Some(known) = self.leadership_key(key) {
             if let Ok(l) = data.deserialized::<LeaderKey>() {
-                if self.leader.as_ref().is_none_or(|x| x.1 < stamp) {
-                    self.leader = Some((l, stamp));
+                if known.as_ref().is_none_or(|x| x.1 < stamp) {
+                    *known = Some((l, stamp));
                     seen.push(Seen::Leader);
                 }
             }
         } else if let Some(member) = key.strip_prefix(MEMBERS) {
             self.members.insert(member.to_string());
         } else if key == FORMAT && stamp > self.format_stamp {
-            self.format = number(data).max(self.format);
+            // What can't be read is of a version to come.
+            let format = data.as_integer().map_or(u64::MAX, |_| number(data));
+            self.format = format.max(self.format);
             self.format_stamp = stamp;
         } else if key == EPOCH && stamp > self.epoch_stamp {
             self.epoch = number(data).max(self.epoch);
@@ -207,11 +257,21 @@
         if let Some(id) = key.strip_prefix(JOBS) {
             self.jobs.remove(id);
             seen.push(Seen::Gone(id.to_string()));
-        } else if key == LEADER && self.leader.as_ref().is_some_and(|l| l.1 < stamp) {
+        } else if let Some(known) = self.leadership_key(key) {
             // An own election may be ahead of the watch, which tells of the
             // old key's end only now.
-            self.leader = None;
-            seen.push(Seen::Leader);
+            if known.as_ref().is_some_and(|l| l.1 < stamp) {
+                *known = None;
+                seen.push(Seen::Leader);
+            }
+        }
+    }
+
+    fn leadership_key(&mut self, key: &str) -> Option<&mut Option<(LeaderKey, u64)>> {
+        match key {
+            LEADER => Some(&mut self.leader_key),
+            LEASE => Some(&mut self.lease_key),
+            _ => None,
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -241,6 +241,16 @@
     pub stamp: u64,
 }
 
+impl Cond {
+    /// The key must have this stamp; 0 if it must not exist.
+    pub fn new(key: impl Into<String>, stamp: u64) -> Cond {
+        Cond {
+            key: key.into(),
+            stamp,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize, Default)]
 pub struct Write {
     #[serde(skip_serializing_if = "Option::is_none", default)]
@@ -261,6 +271,14 @@
             ..Write::default()
         }
     }
+    /// Who leads, as long as the grant lives if there is one.
+    pub fn leader(key: &str, leader: &LeaderKey, grant: Option<u64>) -> Write {
+        let data = Value::serialized(leader).unwrap_or(Value::Null);
+        Write {
+            permit: grant,
+            ..Write::set(key.into(), data)
+        }
+    }
     pub fn drop(key: String) -> Write {
         Write {
             drop: Some(key),
@@ -322,6 +340,7 @@
 // ---- a submission, checked field by field
 
 use crate::job::{Final, Shape, Spec, Urgency};
+use crate::store::LeaderKey;
 
 /// Job ids have one form only.
 pub fn job_id_ok(id: &str) -> bool {
