--- /dev/null
+++ b/src/scheduler/reserve.rs
@@ -0,0 +1,75 @@
+//! Ordinary machines that are held ready for work that spot machines must not take.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use super::arrivals::ArrivalRate;
+use super::Scheduler;
+use crate::cloud::{self, Demand};
+use crate::machine::Machine;
+use crate::plan::{is_allowed, Resources, ZoneCounts};
+
+/// Machines held ready, and what of them is missing.
+#[derive(Default)]
+pub(super) struct Reserve {
+    pub machines: HashSet<Arc<str>>,
+    pub missing: Vec<Demand>,
+}
+
+impl Scheduler {
+    /// The reserve, by how often such work came lately.
+    pub(super) fn reserve(&self, now: u64) -> Reserve {
+        let mut reserve = Reserve::default();
+        let boot_s = self.boot_s();
+        for arrivals in self.arrivals.values() {
+            let tasks = arrivals.per_second(now, boot_s) * boot_s * self.operator.reserve_boots;
+            let wanted = tasks.round() as usize;
+            if wanted > 0 {
+                self.reserve_for(arrivals, wanted, &mut reserve);
+            }
+        }
+        reserve
+    }
+
+    fn reserve_for(&self, arrivals: &ArrivalRate, wanted: usize, reserve: &mut Reserve) {
+        let mut suitable: Vec<(&Machine, usize)> = self
+            .machines
+            .values()
+            .filter(|machine| !reserve.machines.contains(&machine.name))
+            .filter_map(|machine| Some((machine, self.places_in_reserve(machine, arrivals)?)))
+            .collect();
+        // The more images are there already, the sooner work begins.
+        suitable.sort_by(|(a, _), (b, _)| {
+            let most_images = b.images.len().cmp(&a.images.len());
+            most_images.then(a.name.cmp(&b.name))
+        });
+        let mut held = 0;
+        for (machine, places) in suitable {
+            if held >= wanted {
+                break;
+            }
+            held += places;
+            reserve.machines.insert(machine.name.clone());
+        }
+        if wanted > held {
+            reserve.missing.push(Demand {
+                spec: arrivals.spec.clone(),
+                count: (wanted - held) as u32,
+                zones: ZoneCounts::new(),
+                ordinary_price_ratio: 0.0,
+            });
+        }
+    }
+
+    /// How many tasks of a class a machine could hold in the reserve, if any.
+    fn places_in_reserve(&self, machine: &Machine, arrivals: &ArrivalRate) -> Option<usize> {
+        let spec = &arrivals.spec;
+        let usable = !machine.spot
+            && machine.return_reason.is_none()
+            && machine.recorded.iter().all(|task| task.spot)
+            && is_allowed(spec, &machine.machine_type, &machine.zone, false);
+        let machine_type = self.machine_type(&machine.machine_type)?;
+        let places = cloud::capacity(machine_type).count_of(Resources::of(spec)) as usize;
+        (usable && places > 0).then_some(places)
+    }
+}
--- /dev/null
+++ b/src/scheduler/returns.rs
@@ -0,0 +1,234 @@
+//! Which machines are returned to the cloud, and why.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use tracing::info;
+
+use super::job_state::StartDelivery;
+use super::upkeep::Reachability;
+use super::{to_ms, Effect, Scheduler};
+use crate::machine::{CloudStatus, Machine, ReturnReason};
+
+/// Check-ins in a row that show no effect of the answers, after which a machine counts as
+/// out of reach.
+const INEFFECTIVE_ANSWERS_MAX: u32 = 2;
+/// Of the silent machines, one in so many that others redirected lately shows that the
+/// silence is ours.
+const REDIRECTED_PART: usize = 4;
+/// Fewer machines that should report say nothing about who is cut off.
+const CUT_OFF_MACHINES_MIN: usize = 3;
+/// Leases after which a silent machine is returned in any case.
+const OVER_LEASES: f64 = 2.0;
+/// Report intervals after which a machine that is not listed any more counts as silent.
+const NOT_LISTED_REPORTS: f64 = 2.5;
+/// Boot times after which a machine is not expected to come up any more.
+const NEVER_UP_BOOTS: f64 = 3.5;
+/// The boot time of a machine whose type is not known.
+const BOOT_DEFAULT_S: f64 = 60.0;
+/// A deletion that was not confirmed is sent again after this time.
+const DELETE_REPEAT_MS: u64 = 4000;
+/// Most machines of one deletion.
+const DELETE_MAX: usize = 100;
+
+/// What holds for all machines as they are reviewed.
+struct ReviewContext {
+    /// After this silence machines count as lost.
+    lost_ms: u64,
+    /// This controller is rather cut off itself.
+    cut_off: bool,
+    /// Machines in the reserve.
+    reserve: HashSet<Arc<str>>,
+}
+
+impl Scheduler {
+    /// So many machines are silent at once that it is rather this controller that is cut
+    /// off: surely if they came to others, and not if some are still heard, or if the
+    /// others hear nothing, either. Then they are gone, or a zone of them is, and nobody
+    /// waits for them.
+    fn is_cut_off(&self, now: u64) -> bool {
+        let Reachability { silent, up } = self.reachability(now);
+        if up < CUT_OFF_MACHINES_MIN || silent * 2 <= up {
+            return false;
+        }
+        // Of many, one reports at any time.
+        let half_report_ms = to_ms(self.cluster.workers.report_s / 2.0);
+        let heard = now < self.last_report_at + half_report_ms;
+        self.redirected_elsewhere
+            .map_or(!heard, |n| n as usize * REDIRECTED_PART >= silent)
+    }
+
+    /// Whether machines that can't be reached were returned in this term.
+    pub fn returned_unreachable(&self) -> bool {
+        self.returned_unreachable
+    }
+
+    /// Returns what is of no use any more: machines that are gone, silent, out of reach,
+    /// drained or idle.
+    pub(super) fn return_machines(&mut self, now: u64) {
+        let cut_off = self.is_cut_off(now);
+        for machine in self.machines.values_mut() {
+            machine.update_idle(self.term.epoch, now);
+        }
+        let context = ReviewContext {
+            lost_ms: self.lost_ms(now),
+            cut_off,
+            reserve: self.reserve(now).machines,
+        };
+        let machines = self.machines.values();
+        let due: Vec<(Arc<str>, ReturnReason)> = machines
+            .filter_map(|machine| {
+                let reason = self.review_machine(machine, &context, now)?;
+                Some((machine.name.clone(), reason))
+            })
+            .collect();
+        let mut deletions = Vec::new();
+        for (name, reason) in due {
+            if self.begin_return(&name, reason, now) {
+                deletions.push(name.to_string());
+            }
+        }
+        for part in deletions.chunks(DELETE_MAX) {
+            self.effects.push(Effect::Delete {
+                machines: part.to_vec(),
+            });
+        }
+    }
+
+    /// After this silence machines count as lost. A leader that does not keep up gives
+    /// them their whole lease.
+    fn lost_ms(&self, now: u64) -> u64 {
+        let mut share = self.operator.lost_lease_share;
+        if self.is_lagging(now) {
+            share = share.max(1.0);
+        }
+        to_ms(self.cluster.workers.lease_s * share)
+    }
+
+    /// Why a machine is to be returned, if it is.
+    fn review_machine(
+        &self,
+        machine: &Machine,
+        context: &ReviewContext,
+        now: u64,
+    ) -> Option<ReturnReason> {
+        let silent_ms = self.silent_ms(machine, now);
+        let not_listed_ms = to_ms(self.cluster.workers.report_s * NOT_LISTED_REPORTS);
+        if machine.cloud_status == CloudStatus::Failed {
+            return Some(ReturnReason::Failed);
+        }
+        if self.is_reclaimed(machine, now) {
+            return Some(ReturnReason::Reclaimed);
+        }
+        if machine.cloud_status == CloudStatus::Gone && silent_ms > not_listed_ms {
+            return Some(ReturnReason::NotListed);
+        }
+        let drained = !machine.is_occupied() && !self.has_unrecorded_result(machine);
+        if machine.return_reason.is_some() && drained {
+            return machine.return_reason;
+        }
+        if machine.is_up() {
+            return self.review_up_machine(machine, context, silent_ms, now);
+        }
+        if machine.cloud_status == CloudStatus::NotListed && machine.machine_type.is_empty() {
+            // On record only: nobody has seen it since this leader began.
+            let unknown = self.listed_once && silent_ms > context.lost_ms && !context.cut_off;
+            return unknown.then_some(ReturnReason::Unknown);
+        }
+        let boot_ms = to_ms(self.boot_s_of(machine) * NEVER_UP_BOOTS);
+        (now > machine.known_since + boot_ms).then_some(ReturnReason::NeverUp)
+    }
+
+    fn is_reclaimed(&self, machine: &Machine, now: u64) -> bool {
+        let margin_ms = to_ms(self.cluster.workers.gang_peer_s) / 2;
+        machine.reclaim_at.is_some_and(|at| {
+            let silent_since = machine.last_report_at.is_none_or(|heard| heard < at);
+            now > at + margin_ms && silent_since
+        })
+    }
+
+    fn review_up_machine(
+        &self,
+        machine: &Machine,
+        context: &ReviewContext,
+        silent_ms: u64,
+        now: u64,
+    ) -> Option<ReturnReason> {
+        // By then nothing is left to save on it, whoever was cut off. And of an empty one
+        // nothing is lost even if it is our fault.
+        let over_ms = to_ms(self.cluster.workers.lease_s * OVER_LEASES);
+        let nothing_to_lose = !machine.is_occupied() || silent_ms > over_ms;
+        if silent_ms > context.lost_ms && (!context.cut_off || nothing_to_lose) {
+            return Some(ReturnReason::Silent);
+        }
+        let unreachable = machine.ineffective_answers >= INEFFECTIVE_ANSWERS_MAX
+            || self.has_lost_start(machine, now);
+        if unreachable && !context.cut_off {
+            return Some(ReturnReason::Unreachable);
+        }
+        let idle = self.is_idle_for_long(machine, now)
+            && !context.reserve.contains(&machine.name)
+            && !self.has_unrecorded_result(machine);
+        idle.then_some(ReturnReason::Idle)
+    }
+
+    fn is_idle_for_long(&self, machine: &Machine, now: u64) -> bool {
+        let idle_boots = if machine.spot {
+            self.operator.idle_boots_spot
+        } else {
+            self.operator.idle_boots
+        };
+        let idle_ms = to_ms(idle_boots * self.boot_s_of(machine));
+        let peer_ms = to_ms(self.cluster.workers.gang_peer_s);
+        machine
+            .idle_since
+            .is_some_and(|since| now > since + idle_ms)
+            && (machine.wanted_at == 0 || now > machine.wanted_at + peer_ms)
+            && machine.last_report_at.is_some()
+    }
+
+    fn boot_s_of(&self, machine: &Machine) -> f64 {
+        let machine_type = self.machine_type(&machine.machine_type);
+        machine_type.map_or(BOOT_DEFAULT_S, |t| t.boot_s)
+    }
+
+    /// Whether nothing was heard of a start that went straight to a machine, for longer
+    /// than its next check-ins took.
+    fn has_lost_start(&self, machine: &Machine, now: u64) -> bool {
+        if machine.direct_start_at.is_none() {
+            return false;
+        }
+        let wait_ms = self.quiet_ms();
+        machine.recorded.iter().any(|task| {
+            self.placement_of(task).is_some_and(|(_, placement)| {
+                let sent_at = match placement.delivery {
+                    Some(StartDelivery::Direct { at, .. }) => at,
+                    _ => return false,
+                };
+                placement.phase.is_none() && now > sent_at + wait_ms
+            })
+        })
+    }
+
+    /// Drains a machine from now on. True if its deletion is to be sent.
+    fn begin_return(&mut self, name: &str, reason: ReturnReason, now: u64) -> bool {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return false;
+        };
+        if machine.return_reason.is_none() {
+            machine.return_reason = Some(reason);
+            self.dirty = true;
+        }
+        let sent_lately = |at: u64| now <= at + DELETE_REPEAT_MS;
+        if machine.delete_sent_at.is_some_and(sent_lately) {
+            return false;
+        }
+        if machine.delete_sent_at.is_none() {
+            info!("returning {name}: {reason}");
+            self.returned_unreachable |=
+                matches!(reason, ReturnReason::Silent | ReturnReason::Unreachable);
+        }
+        machine.delete_sent_at = Some(now);
+        true
+    }
+}
--- /dev/null
+++ b/src/scheduler/starts.rs
@@ -0,0 +1,163 @@
+//! Starts that are on record and have not gone out.
+
+use std::sync::Arc;
+
+use super::job_state::StartDelivery;
+use super::{to_ms, DirectStart, Effect, Scheduler};
+use crate::job::task_name;
+use crate::wire;
+
+impl Scheduler {
+    /// Starts for a machine may be on record and not on their way.
+    pub fn is_startable(&self, machine: &str) -> bool {
+        self.startable.contains(machine)
+    }
+
+    /// Whether there are such machines.
+    pub fn has_startable(&self) -> bool {
+        !self.startable.is_empty()
+    }
+
+    /// A worker has said that it did not carry out a start that went straight to it, or
+    /// the start was never sent: it may go out anew. `refused`: no connection came about.
+    pub fn on_start_failed(
+        &mut self,
+        machine: &str,
+        starts: &[DirectStart],
+        refused: bool,
+        now: u64,
+    ) {
+        if refused {
+            if let Some(machine) = self.machines.get_mut(machine) {
+                machine.unreachable_until = now + to_ms(self.cluster.workers.report_s);
+            }
+        }
+        for start in starts {
+            let Some(job) = self.jobs.get_mut(&*start.job) else {
+                continue;
+            };
+            let placement = job.placements.iter_mut().find(|p| {
+                p.task == start.task
+                    && p.attempt == start.attempt
+                    && *p.machine == *machine
+                    && p.phase.is_none()
+                    && matches!(p.delivery, Some(StartDelivery::Direct { .. }))
+            });
+            let Some(placement) = placement else {
+                continue;
+            };
+            placement.delivery = None;
+            self.startable.insert(placement.machine.clone());
+            self.dirty = true;
+        }
+    }
+
+    /// The starts that are due on a machine, marked as sent.
+    pub(super) fn take_starts(
+        &mut self,
+        name: &str,
+        delivery: StartDelivery,
+        now: u64,
+    ) -> Vec<DirectStart> {
+        let mut starts = Vec::new();
+        self.startable.remove(name);
+        let Some(machine) = self.machines.get(name) else {
+            return starts;
+        };
+        if !machine.is_retained() {
+            return starts;
+        }
+        let direct = matches!(delivery, StartDelivery::Direct { .. });
+        for recorded in &machine.recorded {
+            let Some(job) = self.jobs.get_mut(&*recorded.job) else {
+                continue;
+            };
+            if job.cancelled {
+                continue;
+            }
+            let committed_change = job.committed_change;
+            let Some(placement) = job.placement_mut(recorded.task) else {
+                continue;
+            };
+            let due = placement.is_unsent()
+                && placement.change <= committed_change
+                && placement.stop.is_none();
+            if due && !(direct && placement.restarts) {
+                placement.delivery = Some(delivery);
+                placement.sends += 1;
+                placement.since = now;
+                starts.push(DirectStart {
+                    job: recorded.job.clone(),
+                    task: recorded.task,
+                    attempt: recorded.attempt,
+                });
+            }
+        }
+        starts
+    }
+
+    /// Sends starts that have no check-in to go with straight to the workers that are
+    /// known to have our epoch.
+    pub fn send_direct_starts(&mut self, may_start: bool, now: u64) {
+        if !may_start || self.is_overloaded(now) {
+            return;
+        }
+        for name in std::mem::take(&mut self.startable) {
+            let Some(machine) = self.machines.get(&*name) else {
+                continue;
+            };
+            let (Some(address), session) = (machine.address, machine.session) else {
+                continue;
+            };
+            if session == 0 || now < machine.unreachable_until || !self.is_placeable(machine, now) {
+                // Its next check-in takes them.
+                continue;
+            }
+            if !self.direct_start_limit.try_take(now, 1.0, 0.0) {
+                // A check-in may come first.
+                self.startable.insert(name);
+                continue;
+            }
+            let delivery = StartDelivery::Direct { session, at: now };
+            let starts = self.take_starts(&name, delivery, now);
+            if starts.is_empty() {
+                continue;
+            }
+            if let Some(machine) = self.machines.get_mut(&*name) {
+                machine.direct_start_at = Some(now);
+            }
+            let commands = starts.iter().map(start_command).collect();
+            self.effects.push(Effect::Commands {
+                machine: name,
+                address,
+                session,
+                commands,
+                starts,
+            });
+        }
+    }
+
+    /// Sends commands that are to go straight to workers.
+    pub(super) fn send_direct_commands(&mut self) {
+        for (name, mut commands) in std::mem::take(&mut self.direct_commands) {
+            let Some(machine) = self.machines.get(&*name) else {
+                continue;
+            };
+            let Some(address) = machine.address.filter(|_| machine.session > 0) else {
+                continue;
+            };
+            commands.truncate(super::COMMANDS_MAX);
+            self.effects.push(Effect::Commands {
+                machine: Arc::clone(&name),
+                address,
+                session: machine.session,
+                commands,
+                starts: vec![],
+            });
+        }
+    }
+}
+
+pub(super) fn start_command(start: &DirectStart) -> wire::Command {
+    wire::start_command(task_name(&start.job, start.task), start.attempt)
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -7,126 +7,167 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::net::{Action, Bounds, Net};
-use crate::node::{Node, Now};
-use crate::plan;
-use crate::settings::{Operator, Settings};
+use mio::Waker;
 
-struct Clock(Instant);
+use crate::net::{Action, ConnectionLimits, Event, EventLoop};
+use crate::node::{Node, Timestamp};
+use crate::plan::{self, Snapshot};
+use crate::settings::{OperatorSettings, Settings};
+
+/// The stack of the planning thread, which needs little.
+const PLANNER_STACK_BYTES: usize = 512 * 1024;
+
+struct Clock {
+    started: Instant,
+}
 
 impl Clock {
-    fn now(&self) -> Now {
-        Now {
-            steady: self.steady(),
-            wall: SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .map_or(0, |d| d.as_millis() as u64),
+    fn now(&self) -> Timestamp {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+        Timestamp {
+            steady: self.steady_ms(),
+            wall: wall.map_or(0, |elapsed| elapsed.as_millis() as u64),
         }
     }
 
-    fn steady(&self) -> u64 {
+    fn steady_ms(&self) -> u64 {
         // From one on, so that 0 can stand for never.
-        self.0.elapsed().as_millis() as u64 + 1
+        self.started.elapsed().as_millis() as u64 + 1
     }
 }
 
+/// Hands snapshots to the planning thread; a newer one takes the place of one that was not
+/// taken.
 #[derive(Default)]
-struct Desk {
-    snapshot: Option<(u64, plan::Snapshot)>,
+struct PlannerInbox {
+    /// A snapshot with the epoch that it was taken under.
+    snapshot: Mutex<Option<(u64, Snapshot)>>,
+    arrived: Condvar,
+}
+
+impl PlannerInbox {
+    fn put(&self, epoch: u64, snapshot: Snapshot) {
+        *lock(&self.snapshot) = Some((epoch, snapshot));
+        self.arrived.notify_one();
+    }
+
+    fn take(&self) -> (u64, Snapshot) {
+        let mut slot = lock(&self.snapshot);
+        loop {
+            if let Some(taken) = slot.take() {
+                return taken;
+            }
+            slot = self
+                .arrived
+                .wait(slot)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+    }
 }
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // Panics abort the process, so there is no poisoned state to fear.
-    m.lock().unwrap_or_else(PoisonError::into_inner)
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What the threads share.
+struct Shared {
+    node: Mutex<Node>,
+    inbox: PlannerInbox,
+    clock: Clock,
 }
 
 /// Runs until killed, or until the event loop fails.
-pub fn serve(set: Settings, op: Operator) -> io::Result<()> {
-    let mut vital: HashSet<SocketAddr> = set.known.iter().map(|k| k.address).collect();
-    vital.extend([set.endpoints.state, set.endpoints.cloud]);
-    let bounds = Bounds {
-        fd_limit: set.cluster.limits.fd_limit,
-        vital,
-        worker_idle: Duration::from_secs_f64(set.cluster.workers.lease_s),
-    };
-    let mut net = Net::new(set.front, set.mesh_addr, bounds)?;
-    let waker = net.waker()?;
-    let node = Arc::new(Mutex::new(Node::new(set, op, rand::random())));
-    let desk = Arc::new((Mutex::new(Desk::default()), Condvar::new()));
-    let clock = Arc::new(Clock(Instant::now()));
-
-    let planner = (node.clone(), desk.clone(), clock.clone());
+pub fn serve(settings: Settings, operator: OperatorSettings) -> io::Result<()> {
+    let limits = connection_limits(&settings);
+    let mut event_loop = EventLoop::new(settings.front, settings.mesh_addr, limits)?;
+    let waker = event_loop.waker()?;
+    let shared = Arc::new(Shared {
+        node: Mutex::new(Node::new(settings, operator, rand::random())),
+        inbox: PlannerInbox::default(),
+        clock: Clock {
+            started: Instant::now(),
+        },
+    });
+    let planner = shared.clone();
     std::thread::Builder::new()
         .name("plan".into())
-        .stack_size(512 * 1024)
-        .spawn(move || {
-            let (node, desk, clock) = planner;
-            loop {
-                let (epoch, snapshot) = {
-                    let mut d = lock(&desk.0);
-                    loop {
-                        if let Some(s) = d.snapshot.take() {
-                            break s;
-                        }
-                        d = desk.1.wait(d).unwrap_or_else(PoisonError::into_inner);
-                    }
-                };
-                let decision = plan::cycle(snapshot);
-                lock(&node).planned(clock.now(), epoch, decision);
-                if let Err(e) = waker.wake() {
-                    tracing::error!("the event loop can't be woken: {e}");
-                }
-            }
-        })?;
+        .stack_size(PLANNER_STACK_BYTES)
+        .spawn(move || plan_forever(&planner, &waker))?;
+    let mut wait_ms = 1;
+    loop {
+        let events = event_loop.turn(Duration::from_millis(wait_ms))?;
+        let read_delay_ms = event_loop.take_longest_wait_ms();
+        let actions;
+        (actions, wait_ms) = handle_events(&shared, events, read_delay_ms);
+        for action in actions {
+            carry_out(&mut event_loop, action);
+        }
+    }
+}
+
+fn connection_limits(settings: &Settings) -> ConnectionLimits {
+    let peers = settings.peers.iter().map(|peer| peer.address);
+    let mut vital: HashSet<SocketAddr> = peers.collect();
+    vital.extend([settings.endpoints.state, settings.endpoints.cloud]);
+    ConnectionLimits {
+        fd_limit: settings.cluster.limits.fd_limit,
+        vital,
+        worker_idle: Duration::from_secs_f64(settings.cluster.workers.lease_s),
+    }
+}
 
-    let mut wait = 1;
+/// The planning thread.
+fn plan_forever(shared: &Shared, waker: &Waker) {
     loop {
-        let events = net.turn(Duration::from_millis(wait))?;
-        let (actions, snapshot) = {
-            let mut n = lock(&node);
-            // The steady clock is read anew before every event; the time of day,
-            // which is but noted in records, once a turn.
-            let mut now = clock.now();
-            for (i, ev) in events.into_iter().enumerate() {
-                if i > 0 {
-                    now.steady = clock.steady();
-                }
-                n.event(now, ev);
-            }
-            n.behind(now, net.waited());
-            n.tick(now);
-            let snapshot = n.plan_due(now).map(|s| (n.epoch(), s));
-            wait = n.wait_ms(now.steady);
-            (n.take_actions(), snapshot)
-        };
-        if let Some(s) = snapshot {
-            lock(&desk.0).snapshot = Some(s);
-            desk.1.notify_one();
+        let (epoch, snapshot) = shared.inbox.take();
+        let decision = plan::cycle(snapshot);
+        lock(&shared.node).on_planned(shared.clock.now(), epoch, decision);
+        if let Err(e) = waker.wake() {
+            tracing::error!("the event loop can't be woken: {e}");
         }
-        for a in actions {
-            match a {
-                Action::Answer {
-                    conn,
-                    status,
-                    retry_after,
-                    body,
-                } => net.answer(conn, status, retry_after, &body),
-                Action::Call {
-                    tag,
-                    to,
-                    method,
-                    path,
-                    body,
-                    timeout_ms,
-                } => net.call(
-                    tag,
-                    to,
-                    method,
-                    &path,
-                    &body,
-                    Duration::from_millis(timeout_ms),
-                ),
-            }
+    }
+}
+
+/// Passes events on to the node. Returns what is to be done, and how long to wait then.
+fn handle_events(shared: &Shared, events: Vec<Event>, read_delay_ms: u64) -> (Vec<Action>, u64) {
+    let mut node = lock(&shared.node);
+    // The steady clock is read anew before every event; the time of day,
+    // which is but noted in records, once a turn.
+    let mut now = shared.clock.now();
+    for (index, event) in events.into_iter().enumerate() {
+        if index > 0 {
+            now.steady = shared.clock.steady_ms();
+        }
+        node.event(now, event);
+    }
+    node.on_read_delay(now, read_delay_ms);
+    node.tick(now);
+    let snapshot = node.plan_due(now);
+    if let Some(snapshot) = snapshot {
+        shared.inbox.put(node.epoch(), snapshot);
+    }
+    (node.take_actions(), node.wait_ms(now.steady))
+}
+
+fn carry_out(event_loop: &mut EventLoop, action: Action) {
+    match action {
+        Action::Answer {
+            connection,
+            status,
+            retry_after,
+            body,
+        } => event_loop.answer(connection, status, retry_after, &body),
+        Action::Call {
+            tag,
+            address,
+            method,
+            path,
+            body,
+            timeout_ms,
+        } => {
+            let timeout = Duration::from_millis(timeout_ms);
+            event_loop.call(tag, address, method, &path, &body, timeout);
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,74 +4,126 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use thiserror::Error;
 
+/// What a value must be able to hold under limits to come, in KiB: a record's fields and a
+/// few dozen of its tasks' places.
+const VALUE_KB_MIN: f64 = 1.0;
+/// Changes of the largest transaction that can't be divided, an election.
+const TXN_OPS_MIN: usize = 3;
+/// Fewest sockets.
+const FD_LIMIT_MIN: usize = 32;
+
 /// Why the settings can't be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
+    /// A file can't be read.
     #[error("{file}: {source}")]
     Read {
+        /// The file.
         file: String,
+        /// Why.
         source: std::io::Error,
     },
+    /// The platform's file can't be parsed.
     #[error("{file}: not valid JSON settings: {source}")]
     Json {
+        /// The file.
         file: String,
+        /// Why.
         source: serde_json::Error,
     },
+    /// The operators' file can't be parsed.
     #[error("{file}: not valid operator settings: {}", source.message())]
     Toml {
+        /// The file.
         file: String,
+        /// Why.
         source: Box<toml::de::Error>,
     },
+    /// A field has a value that can't be used.
     #[error("{field}: {problem}")]
-    Bad {
+    Invalid {
+        /// The field.
         field: &'static str,
+        /// What is wrong with it.
         problem: String,
     },
 }
 
+impl SettingsError {
+    fn invalid(field: &'static str, problem: impl Into<String>) -> SettingsError {
+        SettingsError::Invalid {
+            field,
+            problem: problem.into(),
+        }
+    }
+}
+
 /// The platform's settings file.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Settings {
+    /// This controller's name.
     pub member: String,
+    /// This controller's zone.
     pub zone: String,
+    /// Where users, workers and health checks connect.
     pub front: SocketAddr,
+    /// Where other controllers connect.
     pub mesh_addr: SocketAddr,
-    #[serde(default)]
-    pub known: Vec<Peer>,
+    /// The other controllers.
+    #[serde(rename = "known", default)]
+    pub peers: Vec<Peer>,
+    /// Outside services.
     pub endpoints: Endpoints,
-    pub cluster: Cluster,
+    /// What is the same for all controllers.
+    pub cluster: ClusterSettings,
 }
 
 /// Another controller.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Peer {
+    /// Its name.
     pub member: String,
+    /// Its zone.
     #[serde(default)]
     pub zone: String,
+    /// Where it takes messages of controllers.
     pub address: SocketAddr,
 }
 
+/// Outside services.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Endpoints {
+    /// The cloud, which rents machines.
     pub cloud: SocketAddr,
+    /// The state service.
     pub state: SocketAddr,
 }
 
+/// What is the same for all controllers.
 #[derive(Debug, Clone, Deserialize)]
-pub struct Cluster {
+pub struct ClusterSettings {
+    /// The zones.
     #[serde(default)]
     pub zones: Vec<String>,
+    /// The teams.
     #[serde(default)]
     pub teams: Vec<Team>,
+    /// Aims on starting and finishing.
     #[serde(default)]
     pub objectives: Vec<Objective>,
-    pub workers: Workers,
+    /// Times of workers.
+    pub workers: WorkerTimes,
+    /// Limits of the state service.
     pub state: StateLimits,
+    /// Limits of the cloud.
     pub cloud: CloudLimits,
-    pub limits: Limits,
+    /// Limits of a controller's process.
+    pub limits: ProcessLimits,
+    /// How far the time of day may be off.
     #[serde(default)]
     pub clock_off_ms: f64,
 }
@@ -79,13 +131,18 @@
 /// A team's guarantee and limit; 0 stands for none.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Team {
+    /// Its name.
     pub name: String,
+    /// Guaranteed CPUs.
     #[serde(default)]
     pub cpus: f64,
+    /// Most CPUs.
     #[serde(default)]
     pub cpus_max: f64,
+    /// Guaranteed GPUs.
     #[serde(default)]
     pub gpus: f64,
+    /// Most GPUs.
     #[serde(default)]
     pub gpus_max: f64,
 }
@@ -93,33 +150,49 @@
 /// An aim on starting or finishing.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Objective {
+    /// `wait`, `finished`, `deadline` or another.
     pub kind: String,
+    /// The class of jobs that it is for; `None` for all.
     #[serde(default)]
     pub class: Option<String>,
+    /// The time within which it is met.
     #[serde(default)]
     pub within_s: Option<f64>,
+    /// The share of tasks or jobs that have to meet it.
     #[serde(default)]
     pub share: Option<f64>,
+    /// For deadlines: how many times the deadline may be taken.
     #[serde(default)]
     pub times: Option<f64>,
 }
 
+/// Times of workers.
 #[derive(Debug, Clone, Deserialize)]
-pub struct Workers {
+pub struct WorkerTimes {
+    /// How often workers report.
     pub report_s: f64,
+    /// How long they keep their tasks without an answer.
     pub lease_s: f64,
+    /// How long a gang's tasks wait for one another.
     pub gang_wait_s: f64,
+    /// Within which time a gang's tasks miss one another.
     pub gang_peer_s: f64,
+    /// Within which time a cancelled job's tasks must be gone.
     pub cancel_s: f64,
 }
 
+/// Limits of the state service.
 #[derive(Debug, Clone, Deserialize)]
 pub struct StateLimits {
+    /// Requests a second.
     pub rps: f64,
+    /// Changes a second.
     pub write_rps: f64,
+    /// The size of a value in KiB.
     pub value_kb: f64,
+    /// Changes of a transaction.
     pub txn_ops: usize,
-    /// What it will hold to from some moment after all controllers run this version.
+    /// Limits from some moment after all controllers run this version.
     #[serde(default)]
     pub next: Option<NextLimits>,
 }
@@ -128,10 +201,13 @@
 /// named stay.
 #[derive(Debug, Clone, Default, Deserialize)]
 pub struct NextLimits {
+    /// Changes a second.
     #[serde(default)]
     pub write_rps: Option<f64>,
+    /// The size of a value in KiB.
     #[serde(default)]
     pub value_kb: Option<f64>,
+    /// Changes of a transaction.
     #[serde(default)]
     pub txn_ops: Option<usize>,
 }
@@ -139,42 +215,52 @@
 impl StateLimits {
     /// The lower of each, now and next.
     pub fn lowered(&self) -> StateLimits {
-        let Some(n) = &self.next else {
-            return self.clone();
+        let mut lowered = self.clone();
+        let Some(next) = &self.next else {
+            return lowered;
         };
-        StateLimits {
-            write_rps: n
-                .write_rps
-                .map_or(self.write_rps, |x| x.min(self.write_rps)),
-            value_kb: n.value_kb.map_or(self.value_kb, |x| x.min(self.value_kb)),
-            txn_ops: n.txn_ops.map_or(self.txn_ops, |x| x.min(self.txn_ops)),
-            ..self.clone()
+        if let Some(write_rps) = next.write_rps {
+            lowered.write_rps = write_rps.min(self.write_rps);
         }
+        if let Some(value_kb) = next.value_kb {
+            lowered.value_kb = value_kb.min(self.value_kb);
+        }
+        if let Some(txn_ops) = next.txn_ops {
+            lowered.txn_ops = txn_ops.min(self.txn_ops);
+        }
+        lowered
     }
 }
 
+/// Limits of the cloud.
 #[derive(Debug, Clone, Deserialize)]
 pub struct CloudLimits {
+    /// Requests a second.
     pub rps: f64,
+    /// How late the list of machines is.
     pub list_lag_s: f64,
 }
 
+/// Limits of a controller's process.
 #[derive(Debug, Clone, Deserialize)]
-pub struct Limits {
+pub struct ProcessLimits {
+    /// Its share of a processor core.
     pub cpu_share: f64,
+    /// Its memory.
     pub ram_mb: f64,
+    /// Its sockets.
     pub fd_limit: usize,
 }
 
 /// The operators' own settings. Every key has a default.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Operator {
+pub struct OperatorSettings {
     /// Life of the leader's grant, as a share of a worker's lease.
     pub leader_life_share: f64,
-    /// A machine this many report intervals silent is looked after directly.
+    /// A machine this many report intervals silent is asked directly.
     pub silent_reports: f64,
-    /// Silent this share of a worker's lease, a machine is given back.
+    /// Silent this share of a worker's lease, a machine is returned.
     pub lost_lease_share: f64,
     /// How long an ordinary machine may lie idle, in boot times.
     pub idle_boots: f64,
@@ -185,143 +271,165 @@
     pub reserve_boots: f64,
     /// Ordinary machines are rented for spot work that would wait longer than
     /// this many boot times.
-    pub dear_wait_boots: f64,
+    #[serde(alias = "dear_wait_boots")]
+    pub ordinary_wait_boots: f64,
     /// What such an ordinary machine may cost for a task, as a multiple of the
     /// cheapest spot machine.
-    pub dear_times: f64,
+    #[serde(alias = "dear_times")]
+    pub ordinary_price_ratio: f64,
     /// Longest backoff of a gang that found no room, in seconds.
     pub backoff_max_s: f64,
 }
 
-impl Default for Operator {
+impl Default for OperatorSettings {
     fn default() -> Self {
-        Operator {
+        OperatorSettings {
             leader_life_share: 0.083,
             silent_reports: 2.0,
             lost_lease_share: 0.5,
             idle_boots: 0.15,
             idle_boots_spot: 0.5,
             reserve_boots: 0.4,
-            dear_times: 4.0,
-            dear_wait_boots: 2.5,
+            ordinary_wait_boots: 2.5,
+            ordinary_price_ratio: 4.0,
             backoff_max_s: 10.0,
         }
     }
 }
 
-/// What a value must be able to hold under limits to come.
-const VALUE_KB_LEAST: f64 = 1.0;
-/// Changes of the largest transaction that can't be divided, an election.
-const TXN_OPS_LEAST: usize = 3;
-
-fn read(path: &Path) -> Result<String, SettingsError> {
-    std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-        file: path.display().to_string(),
-        source,
-    })
-}
-
-fn positive(field: &'static str, v: f64) -> Result<(), SettingsError> {
-    if v.is_finite() && v > 0.0 {
-        Ok(())
-    } else {
-        Err(SettingsError::Bad {
-            field,
-            problem: format!("must be a number above 0, not {v}"),
-        })
-    }
-}
-
 impl Settings {
     /// Reads and checks the platform's file.
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
         let text = read(path)?;
-        let s: Settings = serde_json::from_str(&text).map_err(|source| SettingsError::Json {
-            file: path.display().to_string(),
-            source,
-        })?;
-        s.check()?;
-        Ok(s)
+        let settings: Settings = parse_json(path, &text)?;
+        settings.check()?;
+        Ok(settings)
     }
 
     /// Checks what the types alone don't say.
     pub fn check(&self) -> Result<(), SettingsError> {
-        let bad = |field, problem: String| Err(SettingsError::Bad { field, problem });
         if self.member.is_empty() {
-            return bad("member", "is empty".into());
-        }
-        if self.known.iter().any(|p| p.member == self.member) {
-            return bad("known", format!("names this member, {}", self.member));
-        }
-        let c = &self.cluster;
-        positive("cluster.workers.report_s", c.workers.report_s)?;
-        positive("cluster.workers.lease_s", c.workers.lease_s)?;
-        positive("cluster.workers.gang_wait_s", c.workers.gang_wait_s)?;
-        positive("cluster.workers.gang_peer_s", c.workers.gang_peer_s)?;
-        positive("cluster.workers.cancel_s", c.workers.cancel_s)?;
-        positive("cluster.state.rps", c.state.rps)?;
-        positive("cluster.state.write_rps", c.state.write_rps)?;
-        positive("cluster.state.value_kb", c.state.value_kb)?;
-        positive("cluster.cloud.rps", c.cloud.rps)?;
-        positive("cluster.limits.cpu_share", c.limits.cpu_share)?;
-        positive("cluster.limits.ram_mb", c.limits.ram_mb)?;
-        if !c.cloud.list_lag_s.is_finite() || c.cloud.list_lag_s < 0.0 {
-            return bad("cluster.cloud.list_lag_s", "must be 0 or more".into());
-        }
-        if c.state.txn_ops < TXN_OPS_LEAST {
-            let problem = format!("must be at least {TXN_OPS_LEAST}: an election needs as many");
-            return bad("cluster.state.txn_ops", problem);
+            return Err(SettingsError::invalid("member", "is empty"));
         }
-        let low = c.state.lowered();
-        positive("cluster.state.next.write_rps", low.write_rps)?;
-        if low.txn_ops < TXN_OPS_LEAST {
-            let problem = format!("must be at least {TXN_OPS_LEAST}: an election needs as many");
-            return bad("cluster.state.next.txn_ops", problem);
+        if self.peers.iter().any(|peer| peer.member == self.member) {
+            let problem = format!("names this member, {}", self.member);
+            return Err(SettingsError::invalid("known", problem));
         }
-        // A record's fields and a few dozen of its tasks' places.
-        if low.value_kb < VALUE_KB_LEAST && c.state.next.is_some() {
-            return bad(
-                "cluster.state.next.value_kb",
-                format!("must be at least {VALUE_KB_LEAST}: records don't fit"),
-            );
+        self.cluster.check()
+    }
+}
+
+impl ClusterSettings {
+    fn check(&self) -> Result<(), SettingsError> {
+        check_positive("cluster.workers.report_s", self.workers.report_s)?;
+        check_positive("cluster.workers.lease_s", self.workers.lease_s)?;
+        check_positive("cluster.workers.gang_wait_s", self.workers.gang_wait_s)?;
+        check_positive("cluster.workers.gang_peer_s", self.workers.gang_peer_s)?;
+        check_positive("cluster.workers.cancel_s", self.workers.cancel_s)?;
+        check_positive("cluster.cloud.rps", self.cloud.rps)?;
+        check_positive("cluster.limits.cpu_share", self.limits.cpu_share)?;
+        check_positive("cluster.limits.ram_mb", self.limits.ram_mb)?;
+        check_amount("cluster.cloud.list_lag_s", self.cloud.list_lag_s)?;
+        if self.limits.fd_limit < FD_LIMIT_MIN {
+            let problem = format!("must be at least {FD_LIMIT_MIN}");
+            return Err(SettingsError::invalid("cluster.limits.fd_limit", problem));
         }
-        if c.limits.fd_limit < 32 {
-            return bad("cluster.limits.fd_limit", "must be at least 32".into());
+        if self.workers.cancel_s <= self.workers.lease_s {
+            let problem = "must be longer than lease_s, or a cut worker can't be told in time";
+            return Err(SettingsError::invalid("cluster.workers.cancel_s", problem));
         }
-        if c.workers.cancel_s <= c.workers.lease_s {
-            return bad(
-                "cluster.workers.cancel_s",
-                "must be longer than lease_s, or a cut worker can't be told in time".into(),
-            );
+        self.check_state()?;
+        self.teams.iter().try_for_each(Team::check)
+    }
+
+    fn check_state(&self) -> Result<(), SettingsError> {
+        let state = &self.state;
+        check_positive("cluster.state.rps", state.rps)?;
+        check_positive("cluster.state.write_rps", state.write_rps)?;
+        check_positive("cluster.state.value_kb", state.value_kb)?;
+        check_txn_ops("cluster.state.txn_ops", state.txn_ops)?;
+        let lowered = state.lowered();
+        check_positive("cluster.state.next.write_rps", lowered.write_rps)?;
+        check_txn_ops("cluster.state.next.txn_ops", lowered.txn_ops)?;
+        if lowered.value_kb < VALUE_KB_MIN && state.next.is_some() {
+            let field = "cluster.state.next.value_kb";
+            let problem = format!("must be at least {VALUE_KB_MIN}: records don't fit");
+            return Err(SettingsError::invalid(field, problem));
         }
-        for t in &c.teams {
-            for v in [t.cpus, t.cpus_max, t.gpus, t.gpus_max] {
-                if !v.is_finite() || v < 0.0 {
-                    return bad("cluster.teams", format!("{}: a negative amount", t.name));
-                }
-            }
+        Ok(())
+    }
+}
+
+impl Team {
+    fn check(&self) -> Result<(), SettingsError> {
+        let amounts = [self.cpus, self.cpus_max, self.gpus, self.gpus_max];
+        if amounts.iter().any(|a| !a.is_finite() || *a < 0.0) {
+            let problem = format!("{}: a negative amount", self.name);
+            return Err(SettingsError::invalid("cluster.teams", problem));
         }
         Ok(())
     }
 }
 
-impl Operator {
+impl OperatorSettings {
     /// Reads and checks the operators' file.
-    pub fn load(path: &Path) -> Result<Operator, SettingsError> {
+    pub fn load(path: &Path) -> Result<OperatorSettings, SettingsError> {
         let text = read(path)?;
-        let o: Operator = toml::from_str(&text).map_err(|source| SettingsError::Toml {
-            file: path.display().to_string(),
-            source: Box::new(source),
-        })?;
-        positive("leader_life_share", o.leader_life_share)?;
-        positive("silent_reports", o.silent_reports)?;
-        positive("lost_lease_share", o.lost_lease_share)?;
-        positive("idle_boots", o.idle_boots)?;
-        positive("idle_boots_spot", o.idle_boots_spot)?;
-        positive("reserve_boots", o.reserve_boots)?;
-        positive("dear_wait_boots", o.dear_wait_boots)?;
-        positive("dear_times", o.dear_times)?;
-        positive("backoff_max_s", o.backoff_max_s)?;
-        Ok(o)
+        let settings: OperatorSettings =
+            toml::from_str(&text).map_err(|source| SettingsError::Toml {
+                file: path.display().to_string(),
+                source: Box::new(source),
+            })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        check_positive("leader_life_share", self.leader_life_share)?;
+        check_positive("silent_reports", self.silent_reports)?;
+        check_positive("lost_lease_share", self.lost_lease_share)?;
+        check_positive("idle_boots", self.idle_boots)?;
+        check_positive("idle_boots_spot", self.idle_boots_spot)?;
+        check_positive("reserve_boots", self.reserve_boots)?;
+        check_positive("ordinary_wait_boots", self.ordinary_wait_boots)?;
+        check_positive("ordinary_price_ratio", self.ordinary_price_ratio)?;
+        check_positive("backoff_max_s", self.backoff_max_s)
+    }
+}
+
+fn read(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        file: path.display().to_string(),
+        source,
+    })
+}
+
+fn parse_json<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, SettingsError> {
+    serde_json::from_str(text).map_err(|source| SettingsError::Json {
+        file: path.display().to_string(),
+        source,
+    })
+}
+
+fn check_positive(field: &'static str, value: f64) -> Result<(), SettingsError> {
+    if value.is_finite() && value > 0.0 {
+        return Ok(());
+    }
+    let problem = format!("must be a number above 0, not {value}");
+    Err(SettingsError::invalid(field, problem))
+}
+
+fn check_amount(field: &'static str, value: f64) -> Result<(), SettingsError> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(());
+    }
+    Err(SettingsError::invalid(field, "must be 0 or more"))
+}
+
+fn check_txn_ops(field: &'static str, value: usize) -> Result<(), SettingsError> {
+    if value >= TXN_OPS_MIN {
+        return Ok(());
     }
+    let problem = format!("must be at least {TXN_OPS_MIN}: an election needs as many");
+    Err(SettingsError::invalid(field, problem))
 }
--- /dev/null
+++ b/src/wire/cloud.rs
@@ -0,0 +1,128 @@
+//! What the cloud offers, rents and lists.
+
+use serde::{Deserialize, Serialize};
+
+use super::{number, optional_number};
+use crate::machine::CloudStatus;
+
+/// All machine types of the cloud.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct MachineTypes {
+    /// In no particular order.
+    #[serde(rename = "flavors")]
+    pub types: Vec<MachineType>,
+}
+
+/// A type of machine.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct MachineType {
+    /// The type's name.
+    #[serde(rename = "sku")]
+    pub name: String,
+    /// CPUs of a machine.
+    #[serde(rename = "cores", deserialize_with = "number")]
+    pub cpus: f64,
+    /// GPUs of a machine.
+    #[serde(deserialize_with = "number")]
+    pub gpus: f64,
+    /// Memory of a machine.
+    #[serde(rename = "memGb", deserialize_with = "number")]
+    pub memory_gb: f64,
+    /// Room for cached images.
+    #[serde(rename = "cacheGb", deserialize_with = "number")]
+    pub cache_gb: f64,
+    /// How fast images are fetched.
+    #[serde(rename = "fetchGbPerS", deserialize_with = "number")]
+    pub fetch_gb_per_s: f64,
+    /// Price of an ordinary machine for an hour.
+    #[serde(rename = "hourly", deserialize_with = "number")]
+    pub hourly_price: f64,
+    /// Present price of a spot machine for an hour.
+    #[serde(rename = "spotPrice", deserialize_with = "number")]
+    pub spot_price: f64,
+    /// How long a machine usually takes to boot.
+    #[serde(rename = "bootS", deserialize_with = "number")]
+    pub boot_s: f64,
+    /// Zones in which it is offered.
+    #[serde(rename = "halls")]
+    pub zones: Vec<String>,
+}
+
+/// A request to rent machines.
+#[derive(Serialize)]
+pub struct RentRequest<'a> {
+    /// Unique for each rental; the same again rents nothing.
+    pub booking: &'a str,
+    /// The machine type's name.
+    #[serde(rename = "flavor")]
+    pub machine_type: &'a str,
+    /// Where the machines are to be.
+    #[serde(rename = "hall")]
+    pub zone: &'a str,
+    /// Whether spot machines are asked for.
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    /// How many machines at most.
+    #[serde(rename = "howMany")]
+    pub count: u64,
+}
+
+/// Machines that were rented or are to be deleted.
+#[derive(Serialize, Deserialize)]
+pub struct MachineNames {
+    /// Their names.
+    #[serde(rename = "hosts")]
+    pub names: Vec<String>,
+}
+
+/// A page of the machine list.
+#[derive(Debug, Deserialize)]
+pub struct MachineList {
+    /// In the order of their names.
+    #[serde(rename = "hosts")]
+    pub machines: Vec<ListedMachine>,
+    /// Whether more follow.
+    #[serde(default)]
+    pub truncated: bool,
+}
+
+/// A machine in the list.
+#[derive(Debug, Clone, Deserialize)]
+pub struct ListedMachine {
+    /// The machine's name.
+    #[serde(rename = "nameId")]
+    pub name: String,
+    /// The address at which its worker takes commands.
+    #[serde(default)]
+    pub endpoint: Option<String>,
+    /// The name of its type.
+    #[serde(rename = "flavor")]
+    pub machine_type: String,
+    /// Its zone.
+    #[serde(rename = "hall")]
+    pub zone: String,
+    /// Whether it is a spot machine.
+    #[serde(rename = "loaner", default)]
+    pub spot: bool,
+    /// Its state, see [`cloud_status`].
+    pub status: String,
+    /// Age since the rental request.
+    #[serde(rename = "heldS", default, deserialize_with = "optional_number")]
+    pub age_s: Option<f64>,
+}
+
+/// Reads a machine's state in the list.
+pub fn cloud_status(status: &str) -> CloudStatus {
+    match status {
+        "starting" => CloudStatus::Starting,
+        "failed" => CloudStatus::Failed,
+        _ => CloudStatus::Running,
+    }
+}
+
+/// Whether a refusal says that the kind of machine is sold out.
+pub fn is_no_capacity(body: &[u8]) -> bool {
+    const NO_CAPACITY: &[u8] = b"no capacity";
+    body.windows(NO_CAPACITY.len())
+        .any(|part| part == NO_CAPACITY)
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,90 @@
+//! The names that go over the wire: messages of users, workers, the cloud and the
+//! state service, as `PROTOCOL` has them. The rest of the program uses its own terms.
+
+mod cloud;
+mod state_service;
+mod submission;
+mod users;
+mod workers;
+
+pub use cloud::{
+    cloud_status, is_no_capacity, ListedMachine, MachineList, MachineNames, MachineType,
+    MachineTypes, RentRequest,
+};
+pub use state_service::{
+    final_state_reply, Condition, Grant, GrantRequest, KeyChange, KeyValue, Page, Transaction,
+    TransactionReply, WatchReply, Write,
+};
+pub use submission::{is_job_id, parse_submission, MalformedSubmission};
+pub use users::{
+    reports_cancelled, ErrorReply, JobStatusReply, DONE, HEALTH_PATH, JOBS_PATH, PENDING, RUNNING,
+    WITHDRAWN,
+};
+pub use workers::{
+    clear_command, start_command, stop_command, task_phase, Command, CommandBatch, Redirect,
+    Report, TaskReport, CHECKIN_PATH, COMMANDS_PATH, INSPECT_PATH,
+};
+
+use ciborium::Value;
+use serde::de::{self, DeserializeOwned, Deserializer, Visitor};
+use serde::{Deserialize, Serialize};
+
+/// Longest text that [`readable`] returns, in characters.
+const READABLE_MAX: usize = 2000;
+
+/// Encodes a message as CBOR.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    let mut out = Vec::with_capacity(128);
+    if let Err(e) = ciborium::into_writer(message, &mut out) {
+        tracing::error!("a message could not be encoded: {e}");
+    }
+    out
+}
+
+/// Decodes a message; `None` if it is not CBOR or not of this type.
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    ciborium::from_reader(body).ok()
+}
+
+/// A body in a form that people can read, for the log.
+pub fn readable(body: &[u8]) -> String {
+    match ciborium::from_reader::<Value, _>(body) {
+        Ok(value) => format!("{value:?}").chars().take(READABLE_MAX).collect(),
+        Err(_) => format!("{} bytes, not CBOR", body.len()),
+    }
+}
+
+struct NumberVisitor;
+
+impl Visitor<'_> for NumberVisitor {
+    type Value = f64;
+
+    fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str("a number")
+    }
+
+    fn visit_f64<E: de::Error>(self, value: f64) -> Result<f64, E> {
+        Ok(value)
+    }
+
+    fn visit_u64<E: de::Error>(self, value: u64) -> Result<f64, E> {
+        Ok(value as f64)
+    }
+
+    fn visit_i64<E: de::Error>(self, value: i64) -> Result<f64, E> {
+        Ok(value as f64)
+    }
+}
+
+/// Reads a decimal number that the sender may have written as a whole one.
+pub fn number<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+    deserializer.deserialize_any(NumberVisitor)
+}
+
+/// Like [`number`], for a field that may be null or missing.
+fn optional_number<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<f64>, D::Error> {
+    #[derive(Deserialize)]
+    struct Number(#[serde(deserialize_with = "number")] f64);
+    let value = Option::<Number>::deserialize(deserializer)?;
+    Ok(value.map(|number| number.0))
+}
