--- /dev/null
+++ b/tests/common/cloud.rs
@@ -0,0 +1,104 @@
+//! A stand-in of the cloud.
+
+use ciborium::{cbor, Value};
+use gaugesill::wire::{self};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+pub struct Rented {
+    pub up_at: u64,
+    pub spot: bool,
+    pub machine_type: String,
+    pub zone: String,
+}
+
+#[derive(Default)]
+pub struct Cloud {
+    pub machines: BTreeMap<String, Rented>,
+    pub bookings: HashMap<String, Vec<String>>,
+    pub next: u64,
+    pub boot_ms: u64,
+    pub most: usize,
+}
+
+impl Cloud {
+    pub fn handle(&mut self, method: &str, path: &str, body: &[u8], now: u64) -> (u16, Vec<u8>) {
+        match (method, path.split('?').next().unwrap_or("")) {
+            ("GET", "/flavors") => {
+                let f = cbor!({"flavors" => [{
+                    "sku" => "f8", "cores" => 8, "gpus" => 0, "memGb" => 64, "cacheGb" => 100.0,
+                    "fetchGbPerS" => 1.0, "hourly" => 10.0, "spotPrice" => 3.0, "bootS" => 5.0,
+                    "halls" => ["a", "b"]}]});
+                (200, wire::encode(&f.expect("value")))
+            }
+            ("GET", "/machines") => {
+                let machines: Vec<Value> = self
+                    .machines
+                    .iter()
+                    .map(|(n, m)| {
+                        cbor!({"nameId" => n.as_str(), "endpoint" => addr_of(n).to_string(),
+                            "flavor" => m.machine_type.as_str(), "hall" => m.zone.as_str(),
+                            "loaner" => m.spot, "heldS" => 1.0,
+                            "status" => if now >= m.up_at { "running" } else { "starting" }})
+                        .expect("value")
+                    })
+                    .collect();
+                let v = cbor!({"hosts" => machines, "truncated" => false}).expect("value");
+                (200, wire::encode(&v))
+            }
+            ("POST", "/machines") => {
+                let v: Value = ciborium::from_reader(body).expect("a rental");
+                let get = |k: &str| {
+                    v.as_map()
+                        .and_then(|m| m.iter().find(|x| x.0.as_text() == Some(k)))
+                        .map(|x| x.1.clone())
+                        .unwrap_or(Value::Null)
+                };
+                let booking = get("booking").as_text().unwrap_or("").to_string();
+                let n = get("howMany")
+                    .as_integer()
+                    .and_then(|i| usize::try_from(i).ok())
+                    .unwrap_or(0);
+                if !self.bookings.contains_key(&booking) {
+                    let mut machines = Vec::new();
+                    while machines.len() < n && self.machines.len() < self.most {
+                        let name = format!("m-{:06}", self.next);
+                        self.next += 1;
+                        self.machines.insert(
+                            name.clone(),
+                            Rented {
+                                up_at: now + self.boot_ms,
+                                spot: get("loaner").as_bool().unwrap_or(false),
+                                machine_type: get("flavor").as_text().unwrap_or("").into(),
+                                zone: get("hall").as_text().unwrap_or("").into(),
+                            },
+                        );
+                        machines.push(name);
+                    }
+                    if machines.is_empty() {
+                        let e = cbor!({"error" => "no capacity"}).expect("value");
+                        return (503, wire::encode(&e));
+                    }
+                    self.bookings.insert(booking.clone(), machines);
+                }
+                let machines = wire::MachineNames {
+                    names: self.bookings[&booking].clone(),
+                };
+                (200, wire::encode(&machines))
+            }
+            ("POST", "/machines/delete") => {
+                let h: wire::MachineNames = wire::decode(body).expect("names");
+                for n in h.names {
+                    self.machines.remove(&n);
+                }
+                (200, vec![])
+            }
+            _ => (400, vec![]),
+        }
+    }
+}
+
+pub fn addr_of(machine: &str) -> SocketAddr {
+    let n: u16 = machine[2..].parse().expect("a machine's name");
+    SocketAddr::from(([10, 1, 0, 1], 1000 + n))
+}
--- /dev/null
+++ b/tests/common/faults.rs
@@ -0,0 +1,143 @@
+//! Troubles that a test causes.
+
+use gaugesill::node::Node;
+use prost::Message;
+
+use super::messages::*;
+use super::sim::*;
+
+impl Sim {
+    pub fn crash(&mut self, node: usize, back_after: u64) {
+        self.nodes[node] = None;
+        self.lives[node] += 1;
+        self.back_at[node] = Some(self.now + back_after);
+        self.watches.retain(|w| w.ticket.node != node);
+        self.still.remove(&node);
+        self.note(format!("c{node} crashes"));
+    }
+
+    /// A worker is back at once, with another session and without its tasks.
+    pub fn restart_worker(&mut self, machine: &str) {
+        if let Some(w) = self.workers.get_mut(machine) {
+            w.tasks.clear();
+            w.session += 1;
+            w.changed = true;
+            w.waiting = None;
+            w.acked = self.now;
+        }
+        self.note(format!("{machine} restarts"));
+    }
+
+    /// The cut of machines ends: their old reports arrive, minutes late.
+    pub fn heal_machines(&mut self) {
+        self.cut.clear();
+        for m in std::mem::take(&mut self.late) {
+            self.send(2, m);
+        }
+    }
+
+    /// A zone is cut off from everything, with a controller in it or none; it
+    /// goes on inside.
+    pub fn cut_zone(&mut self, zone: &str, node: Option<usize>) {
+        for (name, m) in &self.cloud.machines {
+            if m.zone == zone {
+                self.cut.insert(name.clone());
+            }
+        }
+        self.no_state.extend(node);
+        self.no_peers.extend(node);
+        self.inside = node;
+        self.note(format!("zone {zone} is cut off"));
+    }
+
+    pub fn heal_zone(&mut self) {
+        self.inside = None;
+        self.no_peers.clear();
+        self.heal_state();
+        self.heal_machines();
+        self.note("the cut ends".into());
+    }
+
+    /// Whether a cut is between a controller and a machine.
+    pub(super) fn apart(&self, node: usize, machine: &str) -> bool {
+        self.no_workers.contains(&node)
+            || (self.cut.contains(machine) != (self.inside == Some(node)))
+    }
+
+    /// What a cut held back is delivered.
+    pub fn heal_state(&mut self) {
+        self.no_state.clear();
+        for m in std::mem::take(&mut self.reservations) {
+            self.send(2, m);
+        }
+    }
+
+    /// The state service is back for all, and every grant has its full time again.
+    pub fn end_outage(&mut self) {
+        self.state_out = false;
+        let now = self.now;
+        self.state.refresh(now);
+    }
+
+    /// A machine stands still, and goes on after this time.
+    pub fn hang(&mut self, machine: &str, ms: u64) {
+        self.hung.insert(machine.to_string(), self.now + ms);
+        self.note(format!("{machine} hangs"));
+    }
+
+    pub(super) fn wake_machines(&mut self) {
+        let now = self.now;
+        let awake: Vec<String> = self
+            .hung
+            .iter()
+            .filter(|h| now >= *h.1)
+            .map(|h| h.0.clone())
+            .collect();
+        for machine in awake {
+            self.hung.remove(&machine);
+            self.note(format!("{machine} goes on"));
+            for m in std::mem::take(&mut self.hung_inbox) {
+                match &m {
+                    Msg::Worker { machine: h, .. } if *h == machine => self.send(1, m),
+                    _ => self.hung_inbox.push(m),
+                }
+            }
+        }
+    }
+
+    pub(super) fn late_writes(&mut self) {
+        for (at, m) in std::mem::take(&mut self.held_writes) {
+            match m {
+                Msg::State {
+                    method, path, body, ..
+                } if self.now >= at && !self.state_out => {
+                    // Nobody waits for the answer any more.
+                    self.state.handle(method, &path, &body, self.now);
+                    for c in std::mem::take(&mut self.state.commits) {
+                        self.note(format!("late: {c}"));
+                    }
+                }
+                m => self.held_writes.push((at, m)),
+            }
+        }
+    }
+
+    pub(super) fn next_leaders_copies(&mut self) {
+        let Some(after) = self.copies_for_next else {
+            return;
+        };
+        let epochs = self.nodes.iter().flatten().map(Node::epoch);
+        let epoch = epochs.max().unwrap_or(0);
+        if epoch > self.epoch_seen {
+            self.epoch_seen = epoch;
+            let kept = std::mem::take(&mut self.kept_copies);
+            // The latest of each machine, and one from well before.
+            let n = kept.len();
+            for (i, m) in kept.into_iter().enumerate() {
+                if i % 7 < 3 || i + 30 > n {
+                    self.send(after, m);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/common/settings.rs
@@ -0,0 +1,47 @@
+//! Settings and submissions for the tests.
+
+use ciborium::{cbor, Value};
+use gaugesill::settings::Settings;
+
+pub fn settings(member: usize, teams: &str) -> Settings {
+    settings_with(member, teams, "")
+}
+
+/// `next`: limits to come, as the settings have them behind the present ones.
+pub fn settings_with(member: usize, teams: &str, next: &str) -> Settings {
+    let known: Vec<String> = (0..3)
+        .filter(|i| *i != member)
+        .map(|i| {
+            format!(
+                r#"{{"member":"c{i}","zone":"a","address":"10.0.0.{}:81"}}"#,
+                i + 1
+            )
+        })
+        .collect();
+    let text = format!(
+        r#"{{"member":"c{member}","zone":"a","front":"10.0.0.{n}:80","mesh_addr":"10.0.0.{n}:81",
+        "known":[{}],"endpoints":{{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"}},"news_field":1,
+        "cluster":{{"zones":["a","b"],"teams":[{teams}],
+        "workers":{{"report_s":3.0,"lease_s":36.0,"gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0}},
+        "state":{{"rps":200.0,"write_rps":50.0,"value_kb":16.0,"txn_ops":20{next}}},
+        "cloud":{{"rps":10.0,"list_lag_s":1.0}},
+        "limits":{{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}},"clock_off_ms":100.0}}}}"#,
+        known.join(","),
+        n = member + 1
+    );
+    let s: Settings = serde_json::from_str(&text).expect("settings");
+    s.check().expect("settings hold");
+    s
+}
+
+/// A submission as users write it.
+pub fn submission(id: &str, shape: &str, tasks: u32, cpus: f64, priority: &str) -> Value {
+    cbor!({
+        "nameId" => id, "jobclass" => "c", "owner" => "t", "shape" => shape,
+        "urgency" => priority, "pieces" => tasks, "cores" => cpus, "gpus" => 0.0,
+        "memGb" => 1.0, "bundle" => "img", "imageGb" => 1.0, "flavors" => null,
+        "hall" => null, "samePlace" => false, "scatter" => false, "loaner" => false,
+        "expectedS" => 10.0, "snapshotEveryS" => 2.0, "snapshotS" => 1.0, "dueS" => null
+    })
+    .expect("a value")
+}
--- /dev/null
+++ b/tests/common/sim.rs
@@ -0,0 +1,443 @@
+//! Three controllers and their world on a clock of their own.
+
+use gaugesill::net::{Action, Event, Outcome};
+use gaugesill::node::{Node, Timestamp};
+use gaugesill::plan;
+use gaugesill::settings::OperatorSettings;
+use gaugesill::wire::{self};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use super::cloud::*;
+use super::messages::*;
+use super::settings::*;
+use super::state_service::*;
+use super::worker::*;
+
+/// Three controllers and their world.
+pub struct Sim {
+    pub now: u64,
+    pub nodes: Vec<Option<Node>>,
+    pub(super) lives: Vec<u64>,
+    pub(super) back_at: Vec<Option<u64>>,
+    pub state: StateService,
+    pub cloud: Cloud,
+    pub workers: BTreeMap<String, Worker>,
+    pub(super) wire: BTreeMap<(u64, u64), Msg>,
+    pub(super) seq: u64,
+    pub(super) watches: Vec<Watch>,
+    pub(super) open: HashMap<(usize, u64), u64>,
+    pub(super) timeouts: BTreeMap<(u64, u64), Ticket>,
+    pub(super) conns: HashMap<usize, Origin>,
+    pub(super) next_conn: usize,
+    pub answers: Vec<Option<UserAnswer>>,
+    /// Jobs that users have asked to cancel.
+    pub(super) asked_off: HashSet<String>,
+    /// Accepted jobs that were asked about.
+    pub(super) asked: HashMap<usize, String>,
+    pub jobs: BTreeMap<String, Job>,
+    pub state_out: bool,
+    /// Controllers that the state service does not hear.
+    pub no_state: HashSet<usize>,
+    /// What they send it meanwhile arrives when the cut ends.
+    pub(super) reservations: Vec<Msg>,
+    /// Controllers that workers can't reach, nor they the workers.
+    pub no_workers: HashSet<usize>,
+    /// Controllers that the others can't reach, nor they them.
+    pub no_peers: HashSet<usize>,
+    /// Machines behind a cut: what their workers send is held back.
+    pub cut: HashSet<String>,
+    /// The controller behind the same cut: it reaches them, and no others.
+    pub(super) inside: Option<usize>,
+    /// Machines whose reports arrive, but neither answers nor commands reach
+    /// them.
+    pub deaf: HashSet<String>,
+    /// Machines that reach no controller, while direct commands reach them.
+    pub mute: HashSet<String>,
+    /// Machines that stand still, and until when: what reaches them meanwhile is
+    /// taken in when they go on.
+    pub(super) hung: HashMap<String, u64>,
+    pub(super) hung_inbox: Vec<Msg>,
+    /// Controllers that the state service refuses; their watches wait.
+    pub refused: HashSet<usize>,
+    /// Controllers that get no answers to reads of the state service, and whose
+    /// grants can't be given back.
+    pub blind: HashSet<usize>,
+    /// Limits of the state service to come, as in the settings.
+    pub next: String,
+    /// Controllers that run the version before this one.
+    pub old: HashSet<usize>,
+    /// What becomes of transactions.
+    pub writes: Writes,
+    /// What has been held up and is carried out late, and when.
+    pub(super) held_writes: Vec<(u64, Msg)>,
+    pub(super) txns: u64,
+    /// Parts in ten thousand by which a controller's steady clock runs fast.
+    pub fast: HashMap<usize, u64>,
+    /// A copy of every check-in is kept, and reaches every controller this long
+    /// after the next leader has begun.
+    pub copies_for_next: Option<u64>,
+    pub(super) kept_copies: Vec<Msg>,
+    pub(super) epoch_seen: u64,
+    /// Every check-in arrives again after these times.
+    pub copies_after: Vec<u64>,
+    /// Controllers that stand still, and until when; their clocks run on.
+    pub(super) still: HashMap<usize, u64>,
+    /// Those that will as soon as they have decided on something, for so long.
+    pub still_next: HashMap<usize, u64>,
+    /// What one that stands still had decided on, and what came in meanwhile.
+    pub(super) decided: Vec<(usize, u64, Action)>,
+    pub(super) inbox: Vec<(usize, u64, Event)>,
+    /// Machines that take this long for an image.
+    pub slow_pull: HashMap<String, u64>,
+    pub(super) late: Vec<Msg>,
+    /// Gangs that miss a task, since when.
+    pub(super) torn: HashMap<(String, u64), u64>,
+    pub trace: Vec<String>,
+    pub broken: Vec<String>,
+    pub team_cores: f64,
+    pub(super) team: String,
+    pub(super) told: HashMap<String, String>,
+}
+
+impl Sim {
+    pub fn new() -> Sim {
+        Sim::with_team(r#"{"name":"t"}"#, 0.0)
+    }
+
+    pub fn with_team(team: &str, team_cores: f64) -> Sim {
+        let mut s = Sim {
+            now: 1,
+            nodes: (0..3).map(|_| None).collect(),
+            lives: vec![0; 3],
+            back_at: vec![Some(1); 3],
+            state: StateService::default(),
+            cloud: Cloud {
+                boot_ms: 5000,
+                most: 4,
+                ..Cloud::default()
+            },
+            workers: BTreeMap::new(),
+            wire: BTreeMap::new(),
+            seq: 0,
+            watches: vec![],
+            open: HashMap::new(),
+            timeouts: BTreeMap::new(),
+            conns: HashMap::new(),
+            next_conn: 1,
+            answers: vec![],
+            asked_off: HashSet::new(),
+            asked: HashMap::new(),
+            jobs: BTreeMap::new(),
+            state_out: false,
+            no_state: HashSet::new(),
+            reservations: vec![],
+            no_workers: HashSet::new(),
+            no_peers: HashSet::new(),
+            cut: HashSet::new(),
+            inside: None,
+            deaf: HashSet::new(),
+            mute: HashSet::new(),
+            hung: HashMap::new(),
+            hung_inbox: vec![],
+            refused: HashSet::new(),
+            blind: HashSet::new(),
+            next: String::new(),
+            old: HashSet::new(),
+            writes: Writes::Answered,
+            held_writes: vec![],
+            txns: 0,
+            fast: HashMap::new(),
+            copies_for_next: None,
+            kept_copies: vec![],
+            epoch_seen: 0,
+            copies_after: vec![],
+            still: HashMap::new(),
+            still_next: HashMap::new(),
+            decided: vec![],
+            inbox: vec![],
+            slow_pull: HashMap::new(),
+            late: vec![],
+            torn: HashMap::new(),
+            trace: vec![],
+            broken: vec![],
+            team_cores,
+            team: team.to_string(),
+            told: HashMap::new(),
+        };
+        s.run(1);
+        s
+    }
+
+    pub(super) fn clock(&self, node: usize) -> Timestamp {
+        let fast = self.fast.get(&node).copied().unwrap_or(0);
+        Timestamp {
+            steady: self.now + self.now * fast / 10_000,
+            wall: 1_000_000 + self.now,
+        }
+    }
+
+    pub(super) fn send(&mut self, after: u64, m: Msg) {
+        self.seq += 1;
+        self.wire.insert((self.now + after, self.seq), m);
+    }
+
+    pub fn note(&mut self, text: String) {
+        let line = format!("{:7.2} {text}", self.now as f64 / 1000.0);
+        self.trace.push(line);
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        (0..3).find(|i| {
+            self.nodes[*i]
+                .as_ref()
+                .is_some_and(|n| n.scheduler.is_some())
+        })
+    }
+
+    /// Those that stood still long enough go on: first with what they had
+    /// decided on, then with what came in meanwhile.
+    pub(super) fn thaw(&mut self) {
+        let now = self.now;
+        let awake: Vec<usize> = self
+            .still
+            .iter()
+            .filter(|s| now >= *s.1)
+            .map(|s| *s.0)
+            .collect();
+        for node in awake {
+            self.still.remove(&node);
+            let life = self.lives[node];
+            self.note(format!("c{node} goes on"));
+            for (n, l, a) in std::mem::take(&mut self.decided) {
+                if n != node {
+                    self.decided.push((n, l, a));
+                } else if l == life {
+                    self.act(n, a);
+                }
+            }
+            for (n, l, ev) in std::mem::take(&mut self.inbox) {
+                if n != node {
+                    self.inbox.push((n, l, ev));
+                } else if l == life {
+                    self.event(n, ev);
+                }
+            }
+        }
+    }
+
+    pub(super) fn event(&mut self, node: usize, ev: Event) {
+        if self.still.contains_key(&node) {
+            self.inbox.push((node, self.lives[node], ev));
+            return;
+        }
+        let now = self.clock(node);
+        if let Some(n) = &mut self.nodes[node] {
+            n.event(now, ev);
+        }
+        self.drain(node);
+    }
+
+    pub(super) fn drain(&mut self, node: usize) {
+        let now = self.clock(node);
+        loop {
+            let Some(n) = &mut self.nodes[node] else {
+                return;
+            };
+            let mut actions = n.take_actions();
+            if let Some(s) = n.plan_due(now) {
+                let epoch = n.epoch();
+                n.on_planned(now, epoch, plan::cycle(s));
+                actions.extend(n.take_actions());
+            }
+            if actions.is_empty() {
+                return;
+            }
+            if let Some(ms) = self.still_next.remove(&node) {
+                self.still.insert(node, self.now + ms);
+                self.note(format!("c{node} stands still"));
+                let life = self.lives[node];
+                let all = actions.into_iter().map(|a| (node, life, a));
+                self.decided.extend(all);
+                return;
+            }
+            for a in actions {
+                self.act(node, a);
+            }
+        }
+    }
+
+    pub(super) fn act(&mut self, node: usize, a: Action) {
+        let life = self.lives[node];
+        let a = self.status_as_old(node, a);
+        match a {
+            Action::Answer {
+                connection,
+                status,
+                retry_after,
+                body,
+            } => match self.conns.remove(&connection) {
+                Some(Origin::Worker(machine, serial)) => {
+                    if !self.apart(node, &machine) && !self.deaf.contains(&machine) {
+                        self.send(
+                            1,
+                            Msg::Answer {
+                                machine,
+                                serial,
+                                from: node,
+                                status,
+                                body,
+                            },
+                        );
+                    }
+                }
+                Some(Origin::Peer(ticket)) => {
+                    self.respond(1, ticket, Outcome::Answer { status, body });
+                }
+                Some(Origin::User(slot)) => self.told_user(slot, status, retry_after, body),
+                None => {}
+            },
+            Action::Call {
+                tag,
+                address,
+                method,
+                path,
+                body,
+                timeout_ms,
+            } => {
+                self.open.insert((node, tag), life);
+                let ticket = Ticket { node, life, tag };
+                self.seq += 1;
+                self.timeouts
+                    .insert((self.now + timeout_ms, self.seq), ticket);
+                let ip = address.ip().to_string();
+                let msg = if ip == "10.2.0.1" {
+                    Msg::State {
+                        ticket,
+                        method,
+                        path,
+                        body,
+                    }
+                } else if ip == "10.2.0.2" {
+                    Msg::Cloud {
+                        ticket,
+                        method,
+                        path,
+                        body,
+                    }
+                } else if ip == "10.1.0.1" {
+                    Msg::Worker {
+                        ticket,
+                        machine: format!("m-{:06}", address.port() - 1000),
+                        path,
+                        body,
+                    }
+                } else {
+                    let last: usize = ip
+                        .rsplit('.')
+                        .next()
+                        .and_then(|s| s.parse().ok())
+                        .expect("ip");
+                    Msg::Peer {
+                        ticket,
+                        to: last - 1,
+                        path,
+                        body,
+                    }
+                };
+                self.send(2, msg);
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 1;
+            self.step();
+        }
+    }
+
+    /// Lets time pass until something holds; false if it did not.
+    pub fn until(&mut self, most_ms: u64, f: impl Fn(&Sim) -> bool) -> bool {
+        let end = self.now + most_ms;
+        while self.now < end {
+            if f(self) {
+                return true;
+            }
+            self.run(10);
+        }
+        f(self)
+    }
+
+    pub(super) fn step(&mut self) {
+        for i in 0..3 {
+            if self.back_at[i].is_some_and(|t| self.now >= t) {
+                self.back_at[i] = None;
+                let seed = 10 * self.lives[i] + i as u64;
+                let set = settings_with(i, &self.team, &self.next);
+                self.nodes[i] = Some(Node::new(set, OperatorSettings::default(), seed));
+            }
+        }
+        self.thaw();
+        self.wake_machines();
+        self.late_writes();
+        self.next_leaders_copies();
+        while let Some(e) = self.wire.first_entry() {
+            if e.key().0 > self.now {
+                break;
+            }
+            let m = e.remove();
+            self.deliver(m);
+        }
+        while let Some(e) = self.timeouts.first_entry() {
+            if e.key().0 > self.now {
+                break;
+            }
+            let ticket = e.remove();
+            self.reply(ticket, Outcome::NoAnswer);
+        }
+        if !self.state_out {
+            self.state.expire(self.now);
+            for w in std::mem::take(&mut self.watches) {
+                let n = self.state.changes(&w.under, w.from);
+                let node = w.ticket.node;
+                let cut = self.no_state.contains(&node)
+                    || self.refused.contains(&node)
+                    || self.blind.contains(&node);
+                if cut || (n.changes.is_empty() && self.now < w.until) {
+                    self.watches.push(w);
+                    continue;
+                }
+                let body = wire::encode(&n);
+                self.respond(2, w.ticket, Outcome::Answer { status: 200, body });
+            }
+        }
+        if self.now % 10 == 0 {
+            for i in 0..3 {
+                let now = self.clock(i);
+                if self.still.contains_key(&i) {
+                    continue;
+                }
+                if let Some(n) = &mut self.nodes[i] {
+                    n.tick(now);
+                }
+                self.drain(i);
+            }
+            self.tick_workers();
+        }
+    }
+
+    /// An answer sets out.
+    pub(super) fn respond(&mut self, after: u64, ticket: Ticket, outcome: Outcome) {
+        self.send(after, Msg::Reply { ticket, outcome });
+    }
+
+    pub(super) fn reply(&mut self, ticket: Ticket, outcome: Outcome) {
+        let Ticket { node, life, tag } = ticket;
+        if self.lives[node] != life || self.open.remove(&(node, tag)) != Some(life) {
+            return;
+        }
+        self.event(node, Event::Reply { tag, outcome });
+    }
+}
--- /dev/null
+++ b/tests/parts/main.rs
@@ -0,0 +1,16 @@
+//! The modules by themselves.
+
+mod admission;
+mod cloud;
+mod job;
+mod leader_lease;
+mod machine;
+mod plan;
+mod replica;
+mod reports;
+mod returns;
+mod settings;
+mod snapshots;
+mod support;
+mod wire;
+mod write_queue;
--- /dev/null
+++ b/tests/parts/replica.rs
@@ -0,0 +1,57 @@
+//! The replica of the state service.
+
+use crate::support::*;
+use gaugesill::job::{FinalState, JobRecord, Priority, Shape};
+use gaugesill::replica::{LeaderKey, Replica, ReplicaChange, LEADER_KEY};
+use gaugesill::wire::KeyChange;
+
+/// An own election is known before the watch tells that the old key is gone:
+/// the late news must not depose the new leader.
+#[test]
+fn late_changes_of_the_old_leader_key_are_ignored() {
+    let mut p = Replica::default();
+    p.loaded = true;
+    p.revision = 5;
+    let mine = LeaderKey {
+        member: "c1".into(),
+        epoch: 2,
+    };
+    p.leader_key = Some((mine, 9));
+    let gone = KeyChange {
+        set: None,
+        value: None,
+        delete: Some(LEADER_KEY.into()),
+        version: 7,
+    };
+    assert!(p
+        .apply_changes(8, 5, std::slice::from_ref(&gone))
+        .is_empty());
+    assert!(p.leader().is_some());
+    let later = KeyChange {
+        version: 12,
+        ..gone
+    };
+    assert_eq!(
+        p.apply_changes(12, 8, &[later]),
+        [ReplicaChange::LeaderChanged]
+    );
+    assert!(p.leader().is_none());
+}
+
+/// Found beside a cancellation that came with the last task's end: the watch
+/// tells of a job's record after its end is known from an own commit.
+#[test]
+fn late_changes_of_a_finished_job_are_ignored() {
+    let mut p = Replica::default();
+    p.loaded = true;
+    p.record_final("run-1", FinalState::Done);
+    let record = JobRecord::new(spec(Shape::Array, 1, 1.0, Priority::Low), 1);
+    let late = KeyChange {
+        set: Some("g/j/run-1".into()),
+        value: Some(record.to_value(0)),
+        delete: None,
+        version: 3,
+    };
+    assert!(p.apply_changes(3, 0, &[late]).is_empty());
+    assert!(p.jobs.is_empty());
+}
--- /dev/null
+++ b/tests/parts/support.rs
@@ -0,0 +1,232 @@
+//! Settings, jobs and reports for the tests of the scheduler.
+
+use gaugesill::job::{JobRecord, JobSpec, Priority, Shape, TaskRun};
+use gaugesill::plan::{
+    self, JobView, MachineView, Reservation, Resources, Snapshot, TaskView, TeamView,
+};
+use gaugesill::replica::{LiveJob, Replica};
+use gaugesill::scheduler::{ReportOrigin, Scheduler, Term};
+use gaugesill::settings::OperatorSettings;
+use gaugesill::wire::{MachineType, Report, TaskReport};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+pub fn spec(shape: Shape, tasks: u32, cpus: f64, priority: Priority) -> JobSpec {
+    JobSpec {
+        class: "c".into(),
+        team: "t".into(),
+        shape,
+        priority,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        machine_types: None,
+        zone: None,
+        single_zone: false,
+        spread: false,
+        spot: false,
+        image: "img".into(),
+        image_gb: 1.0,
+        expected_s: 10.0,
+        checkpoint_interval_s: 2.0,
+        save_s: 1.0,
+        deadline_s: None,
+        dependencies: vec![],
+    }
+}
+
+pub fn machine(name: &str, zone: &str, free: f64) -> MachineView {
+    let resources = |cpus| Resources {
+        cpus,
+        gpus: 0.0,
+        memory_gb: 100.0,
+    };
+    MachineView {
+        name: name.into(),
+        machine_type: "f".into(),
+        zone: zone.into(),
+        spot: false,
+        total: resources(8.0),
+        free: resources(free),
+        images: vec![],
+        fetch_gb_per_s: 1.0,
+        tasks: vec![],
+        lowest_priority: None,
+        reservations: vec![],
+    }
+}
+
+pub fn job(id: &str, spec: JobSpec) -> JobView {
+    JobView {
+        id: id.into(),
+        pending: (0..spec.tasks).collect(),
+        spec: Arc::new(spec),
+        ready_at_s: 0.0,
+        start_by_s: Some(0.0),
+        zones: BTreeMap::new(),
+        avoided_machines: HashSet::new(),
+        backing_off: false,
+        incomplete: false,
+        overdue: false,
+        skips_uncached: false,
+    }
+}
+
+pub fn filler(job: &str, task: u32, cpus: f64) -> TaskView {
+    TaskView {
+        job: job.into(),
+        task,
+        resources: Resources {
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        },
+        priority: Priority::Low,
+        team: "t".into(),
+        stoppable: true,
+        stop_cost_s: 1.0,
+        running_since_s: None,
+    }
+}
+
+pub fn held(job: &str, cpus: f64, priority: Priority) -> Reservation {
+    Reservation {
+        job: job.into(),
+        resources: Resources {
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        },
+        priority,
+    }
+}
+
+pub fn snapshot(machines: Vec<MachineView>, jobs: Vec<JobView>) -> Snapshot {
+    Snapshot {
+        machines: machines
+            .into_iter()
+            .map(|m| MachineView {
+                lowest_priority: plan::lowest_priority(&m.tasks),
+                ..m
+            })
+            .map(Arc::new)
+            .collect(),
+        jobs,
+        teams: HashMap::from([("t".to_string(), TeamView::default())]),
+        now_s: 0.0,
+        ordinary_penalty_s: 10.0,
+    }
+}
+
+pub fn machine_types() -> Vec<MachineType> {
+    let f = |name: &str, cpus, hourly_price, spot_price| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        hourly_price,
+        spot_price,
+        boot_s: 40.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    vec![f("small", 8.0, 8.0, 2.0), f("large", 32.0, 24.0, 6.0)]
+}
+
+pub fn control(objectives: &str) -> Scheduler {
+    control_with(objectives, "3.0")
+}
+
+pub fn control_with(objectives: &str, report_s: &str) -> Scheduler {
+    control_of(r#"[{"name":"t"}]"#, objectives, report_s)
+}
+
+pub fn control_of(teams: &str, objectives: &str, report_s: &str) -> Scheduler {
+    let text = format!(
+        r#"{{"objectives":{objectives},"teams":{teams},"workers":{{"report_s":{report_s},"lease_s":36.0,
+        "gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0}},
+        "state":{{"rps":9.0,"write_rps":9.0,"value_kb":16.0,"txn_ops":20}},
+        "cloud":{{"rps":9.0,"list_lag_s":1.0}},
+        "limits":{{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}}}}"#
+    );
+    let term = Term {
+        member: "c0".into(),
+        epoch: 2,
+        key: gaugesill::replica::LEADER_KEY,
+        key_version: 3,
+        began_wall_ms: 1_000_000,
+    };
+    Scheduler::new(
+        term,
+        &serde_json::from_str(&text).expect("settings"),
+        &OperatorSettings::default(),
+        Arc::new(machine_types()),
+        &Replica::default(),
+        1000,
+    )
+}
+
+pub fn report(machine: &str, serial: u64, epoch: u64) -> Report {
+    Report {
+        machine: machine.into(),
+        endpoint: "10.1.0.1:9000".into(),
+        machine_type: "large".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        serial,
+        epoch,
+        reclaim_in_s: None,
+        tasks: vec![],
+    }
+}
+
+pub fn busy_machines(report_s: &str) -> Scheduler {
+    let mut c = control_with("[]", report_s);
+    for i in 0..9 {
+        // Busy, and they reported at different times before the cut.
+        let mut r = report(&format!("m-{i}"), 1, 2);
+        r.tasks.push(TaskReport {
+            task: format!("run-{i}/0"),
+            attempt: 1,
+            status: "running".into(),
+            cause: None,
+            kept: None,
+        });
+        c.on_report(&r, ReportOrigin::CheckIn, 1000 + 300 * i);
+    }
+    c
+}
+
+pub fn task(name: &str, attempt: u64, status: &str, cause: Option<&str>) -> TaskReport {
+    TaskReport {
+        task: name.into(),
+        attempt,
+        status: status.into(),
+        cause: cause.map(Into::into),
+        kept: None,
+    }
+}
+
+pub fn reports(serial: u64, epoch: u64, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        tasks,
+        ..report("m-0", serial, epoch)
+    }
+}
+
+/// A successor's mind: `tasks` of run-1, an array or a gang, on m-0 under attempt 1.
+pub fn successor(shape: Shape, tasks: u32) -> Scheduler {
+    let mut c = control("[]");
+    let mut record = JobRecord::new(spec(shape, tasks, 1.0, Priority::Low), 1_000_000);
+    record.runs = vec![TaskRun::from((0, tasks, 1, "m-0".into()))];
+    record.next_attempt = 2;
+    let live = LiveJob {
+        record: Arc::new(record),
+        version: 1,
+    };
+    c.apply_record("run-1", &live, 1000);
+    c
+}
