Records to write, held check-ins and direct starts are looked up, not walked

Need: what one event costs must not grow with the fleet. Each event walked all live jobs for changes to write, all machines with starts not yet sent, and all check-ins that wait for starts: a check-in of the leader's own code cost 13.8 us at 1,500 machines, 31.5 us at 4,000 and 52 us at 6,000 (examples/share).

Change: jobs with changes not on record stand in an index by urgency and age; held check-ins are found by their machine; direct starts are taken from the front while their limit lasts.

--- a/src/node/checkins.rs
+++ b/src/node/checkins.rs
@@ -2,8 +2,9 @@
 
 use tracing::trace;
 
+use super::held_checkins::HeldCheckIn;
 use super::Node;
-use crate::scheduler::{ReportOrigin, Scheduler};
+use crate::scheduler::ReportOrigin;
 use crate::time_units::to_ms;
 use crate::wire::{self, Report};
 
@@ -13,14 +14,6 @@
 /// there may be cancellations that this controller does not know of.
 const UNKNOWN_CANCELLATIONS_SHARE: f64 = 0.75;
 
-/// A check-in whose answer waits a moment for starts.
-#[derive(Debug)]
-pub(super) struct HeldCheckIn {
-    connection: usize,
-    report: Report,
-    until: u64,
-}
-
 impl Node {
     pub(super) fn on_checkin(&mut self, connection: usize, body: &[u8]) {
         let Some(report) = wire::decode::<Report>(body) else {
@@ -57,13 +50,16 @@
         };
         let has_room = scheduler.on_report(&report, ReportOrigin::CheckIn, now);
         self.worker_answered_at = Some(now);
-        if certain && has_room {
+        if certain && has_room && !scheduler.is_startable(&report.machine) {
             let hold_s = self.settings.cluster.workers.report_s * HOLD_REPORT_SHARE;
-            self.held_checkins.push(HeldCheckIn {
+            let earlier = self.held_checkins.insert(HeldCheckIn {
                 connection,
                 report,
                 until: now + to_ms(hold_s),
             });
+            if let Some(earlier) = earlier {
+                self.answer_checkin(earlier.connection, &earlier.report);
+            }
         } else {
             self.answer_checkin(connection, &report);
         }
@@ -108,24 +104,18 @@
     /// them when the time is over.
     pub(super) fn answer_held_checkins(&mut self) {
         let now = self.now.steady;
-        // They came in this order, and all wait equally long.
-        let first_until = self.held_checkins.first().map(|held| held.until);
-        let has_startable = self.scheduler.as_ref().is_none_or(Scheduler::has_startable);
-        if !has_startable && first_until.is_none_or(|until| now < until) {
-            return;
-        }
-        let mut waiting = Vec::new();
-        for held in std::mem::take(&mut self.held_checkins) {
-            let startable = self
-                .scheduler
-                .as_ref()
-                .is_none_or(|scheduler| scheduler.is_startable(&held.report.machine));
-            if startable || now >= held.until {
-                self.answer_checkin(held.connection, &held.report);
-            } else {
-                waiting.push(held);
+        let held = match &mut self.scheduler {
+            Some(scheduler) => {
+                let startable = scheduler.take_newly_startable();
+                let startable = startable.iter().map(|machine| &**machine);
+                let mut held = self.held_checkins.take_of(startable);
+                held.extend(self.held_checkins.take_due(now));
+                held
             }
+            None => self.held_checkins.take_all(),
+        };
+        for held in held {
+            self.answer_checkin(held.connection, &held.report);
         }
-        self.held_checkins = waiting;
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod dependencies;
 mod effects;
 mod format_version;
+mod held_checkins;
 mod leadership;
 mod peers;
 mod planning;
@@ -37,10 +38,10 @@
 use crate::write_queue::{CommitResult, WriteQueue};
 
 use calls::PendingCall;
-use checkins::HeldCheckIn;
 use cloud_sync::MachineListReader;
 use dependencies::DependencyLookups;
 use format_version::FormatState;
+use held_checkins::HeldCheckIns;
 use peers::PeerView;
 use planning::PlanTimer;
 use replication::Replication;
@@ -137,8 +138,7 @@
     redirected_workers: BTreeMap<String, u64>,
     /// When a worker's report was last answered.
     worker_answered_at: Option<u64>,
-    /// In the order in which they came.
-    held_checkins: Vec<HeldCheckIn>,
+    held_checkins: HeldCheckIns,
     plan_timer: PlanTimer,
     next_tick_at: u64,
     stats_timer: StatsTimer,
@@ -187,7 +187,7 @@
             next_status_at: 0,
             redirected_workers: BTreeMap::new(),
             worker_answered_at: None,
-            held_checkins: vec![],
+            held_checkins: HeldCheckIns::default(),
             plan_timer: PlanTimer::default(),
             next_tick_at: 0,
             stats_timer: StatsTimer::default(),
--- a/src/scheduler/decisions.rs
+++ b/src/scheduler/decisions.rs
@@ -203,6 +203,7 @@
         job.next_attempt += 1;
         let change = job.note_change(now);
         job.urgent_change = change;
+        self.update_write_slot(id);
         debug!("placing {id} attempt {attempt}: {tasks:?}");
         for (task, machine) in tasks {
             let placement = Placement::new(task, attempt, machine, change, now);
--- a/src/scheduler/job_state.rs
+++ b/src/scheduler/job_state.rs
@@ -82,6 +82,17 @@
     }
 }
 
+/// Where a job stands among the records that are to be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum WriteSlot {
+    /// Nothing is to be written, or a change is being written.
+    None,
+    /// A change waits that has to be on record before something else can happen.
+    Urgent,
+    /// A change waits since then that may wait for others.
+    Deferred(u64),
+}
+
 /// A live job as the leader knows it.
 #[derive(Debug)]
 pub struct Job {
@@ -125,6 +136,8 @@
     pub(super) writing_done: TaskSet,
     pub(super) write_after: u64,
     pub(super) write_after_revision: u64,
+    /// Where it stands among the records that are to be written.
+    pub(super) write_slot: WriteSlot,
     /// It rests until then after a failure.
     pub(super) rest_until: u64,
     /// Failures in a row.
@@ -173,6 +186,7 @@
             writing_done: TaskSet::default(),
             write_after: 0,
             write_after_revision: 0,
+            write_slot: WriteSlot::None,
             rest_until: 0,
             failures: 0,
             failed_cycles: 0,
@@ -224,6 +238,17 @@
         self.change
     }
 
+    /// Where it belongs among the records that are to be written.
+    pub(super) fn wanted_write_slot(&self) -> WriteSlot {
+        if self.change <= self.committed_change || self.writing_change.is_some() {
+            WriteSlot::None
+        } else if self.urgent_change > self.committed_change || self.final_state().is_some() {
+            WriteSlot::Urgent
+        } else {
+            WriteSlot::Deferred(self.changed_at)
+        }
+    }
+
     /// How many of its tasks have no place and may have one.
     pub(super) fn pending_count(&self) -> u64 {
         if self.cancelled || self.is_waiting {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod returns;
 mod snapshots;
 mod starts;
+mod unwritten;
 mod upkeep;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -41,6 +42,7 @@
 use arrivals::ArrivalRate;
 use dependency_links::DependencyLinks;
 use rentals::Rentals;
+use unwritten::UnwrittenJobs;
 
 /// Commands that one answer or request may carry.
 const COMMANDS_MAX: usize = 300;
@@ -77,6 +79,7 @@
     /// Live jobs.
     pub jobs: BTreeMap<String, Job>,
     dependency_links: DependencyLinks,
+    unwritten: UnwrittenJobs,
     /// The form in which records are written.
     format: u64,
     /// Rented machines, and those that a record or a report names.
@@ -89,6 +92,8 @@
     direct_commands: BTreeMap<Arc<str>, Vec<Command>>,
     /// Machines with starts on record that have not gone out.
     startable: BTreeSet<Arc<str>>,
+    /// Those that have come up since they were last asked for.
+    newly_startable: Vec<Arc<str>>,
     effects: Vec<Effect>,
     /// Something changed that the planner should look at.
     pub dirty: bool,
@@ -134,6 +139,7 @@
             began_at: now,
             jobs: BTreeMap::new(),
             dependency_links: DependencyLinks::default(),
+            unwritten: UnwrittenJobs::default(),
             format: 0,
             machines: BTreeMap::new(),
             shared_names: shared_names(&machine_types),
@@ -141,6 +147,7 @@
             rentals: Rentals::default(),
             direct_commands: BTreeMap::new(),
             startable: BTreeSet::new(),
+            newly_startable: vec![],
             effects: vec![],
             dirty: true,
             end_backoffs: false,
--- a/src/scheduler/placements.rs
+++ b/src/scheduler/placements.rs
@@ -45,6 +45,7 @@
         };
         let placement = job.placements.remove(index);
         job.note_change(now);
+        self.update_write_slot(id);
         if let Some(machine) = self.machines.get_mut(&*placement.machine) {
             machine.remove_recorded(id, Some(task));
         }
@@ -82,6 +83,7 @@
             job.note_change(now);
         }
         let tasks: Vec<u32> = job.placements.iter().map(|p| p.task).collect();
+        self.update_write_slot(id);
         for task in tasks {
             self.stop_task(id, task, 0.0, now);
         }
@@ -134,10 +136,11 @@
     /// A machine's start commands may have come due: it is looked at with the next answer.
     pub(super) fn note_startable(&mut self, id: &str) {
         let Some(job) = self.jobs.get(id) else { return };
-        for placement in &job.placements {
-            if placement.is_unsent() && placement.change <= job.committed_change {
-                self.startable.insert(placement.machine.clone());
-            }
+        let due = |p: &&Placement| p.is_unsent() && p.change <= job.committed_change;
+        let due = job.placements.iter().filter(due);
+        let machines: Vec<Arc<str>> = due.map(|p| p.machine.clone()).collect();
+        for machine in machines {
+            self.add_startable(machine);
         }
     }
 
--- a/src/scheduler/records.rs
+++ b/src/scheduler/records.rs
@@ -64,6 +64,7 @@
             if job.writing_change == Some(writer.change) {
                 job.writing_change = None;
             }
+            self.update_write_slot(id);
             if newer {
                 self.note_startable(id);
             }
@@ -84,6 +85,7 @@
             self.record_arrival(&job, now);
         }
         self.jobs.insert(id.to_string(), job);
+        self.update_write_slot(id);
         self.link_dependencies(id);
         for run in &record.runs {
             let machine: Arc<str> = run.machine.as_str().into();
@@ -124,6 +126,7 @@
         self.release_reservations(id);
         if let Some(job) = self.jobs.remove(id) {
             self.dependency_links.remove(&job);
+            self.forget_write_slot(&job.id, job.write_slot);
             for placement in &job.placements {
                 if let Some(machine) = self.machines.get_mut(&*placement.machine) {
                     machine.remove_recorded(id, None);
@@ -172,30 +175,24 @@
             // get through, this one fails and the replica tells.
             CommitResult::Unknown => job.write_after = now + UNKNOWN_PAUSE_MS,
         }
+        self.update_write_slot(id);
     }
 
     /// Writes what has changed. Placements and ends go at once; of the rest, those that
     /// have waited the longest go as far as `spare_writes` changes allow.
     pub(super) fn write_changes(&mut self, now: u64, revision: u64, spare_writes: usize) {
-        let lazy_ms = to_ms(self.cluster.workers.gang_peer_s * LAZY_WRITE_SHARE);
-        let mut lazy: Vec<(u64, Arc<str>)> = Vec::new();
-        let mut due: Vec<Arc<str>> = Vec::new();
-        for job in self.jobs.values() {
-            if job.change <= job.committed_change
-                || job.writing_change.is_some()
-                || now < job.write_after
-                || revision < job.write_after_revision
-            {
-                continue;
-            }
-            if job.urgent_change > job.committed_change || job.final_state().is_some() {
-                due.push(job.id.clone());
-            } else if now >= job.changed_at + lazy_ms {
-                lazy.push((job.changed_at, job.id.clone()));
-            }
-        }
-        lazy.sort_unstable();
-        due.extend(lazy.into_iter().take(spare_writes).map(|(_, id)| id));
+        let may_write = |id: &Arc<str>| {
+            self.jobs.get(&**id).is_some_and(|job| {
+                now >= job.write_after && revision >= job.write_after_revision
+            })
+        };
+        let urgent = self.unwritten.urgent.iter();
+        let mut due: Vec<Arc<str>> = urgent.filter(|id| may_write(id)).cloned().collect();
+        let wait_ms = to_ms(self.cluster.workers.gang_peer_s * LAZY_WRITE_SHARE);
+        let deferred = self.unwritten.deferred.iter();
+        let waited = deferred.take_while(|(since, _)| now >= since + wait_ms);
+        let waited = waited.map(|(_, id)| id).filter(|id| may_write(id));
+        due.extend(waited.take(spare_writes).cloned());
         for id in due {
             self.write_record(&id);
         }
@@ -229,5 +226,6 @@
             conditions,
             writes,
         });
+        self.update_write_slot(id);
     }
 }
--- a/src/scheduler/starts.rs
+++ b/src/scheduler/starts.rs
@@ -13,9 +13,16 @@
         self.startable.contains(machine)
     }
 
-    /// Whether there are such machines.
-    pub fn has_startable(&self) -> bool {
-        !self.startable.is_empty()
+    /// Machines with starts on record that may not be on their way, and that have come up
+    /// since the last call: a check-in of theirs that waits is answered.
+    pub fn take_newly_startable(&mut self) -> Vec<Arc<str>> {
+        std::mem::take(&mut self.newly_startable)
+    }
+
+    /// A machine has starts on record that may not be on their way.
+    pub(super) fn add_startable(&mut self, machine: Arc<str>) {
+        self.newly_startable.push(machine.clone());
+        self.startable.insert(machine);
     }
 
     /// A worker has said that it did not carry out a start that went straight to it, or
@@ -47,7 +54,8 @@
                 continue;
             };
             placement.delivery = None;
-            self.startable.insert(placement.machine.clone());
+            let machine = placement.machine.clone();
+            self.add_startable(machine);
             self.dirty = true;
         }
     }
@@ -102,7 +110,11 @@
         if !may_start || self.is_overloaded(now) {
             return;
         }
-        for name in std::mem::take(&mut self.startable) {
+        // What the limit leaves no room for stays: a check-in may come first.
+        while self.direct_start_limit.available(now, 0.0) > 0 {
+            let Some(name) = self.startable.pop_first() else {
+                return;
+            };
             let Some(machine) = self.machines.get(&*name) else {
                 continue;
             };
@@ -113,16 +125,12 @@
                 // Its next check-in takes them.
                 continue;
             }
-            if !self.direct_start_limit.try_take(now, 1.0, 0.0) {
-                // A check-in may come first.
-                self.startable.insert(name);
-                continue;
-            }
             let delivery = StartDelivery::Direct { session, at: now };
             let starts = self.take_starts(&name, delivery, now);
             if starts.is_empty() {
                 continue;
             }
+            let _ = self.direct_start_limit.try_take(now, 1.0, 0.0);
             if let Some(machine) = self.machines.get_mut(&*name) {
                 machine.direct_start_at = Some(now);
             }
