plan: machines are found by their room, not by looking at all of them

Change: within a cycle machines stand in indexes by kind, free GPUs and share that is free, all of them and those with an image; what machines offer with victims is kept once for jobs that ask for the same. Searches merge these lazily, the cheapest first. Room that is held counts in the indexes; machines with more for the asker are looked at by themselves.

--- a/src/node/held_checkins.rs
+++ b/src/node/held_checkins.rs
@@ -39,7 +39,9 @@
         let numbers = machines.filter_map(|machine| self.number_of.remove(machine));
         let mut numbers: Vec<u64> = numbers.collect();
         numbers.sort_unstable();
-        let held = numbers.iter().filter_map(|number| self.by_number.remove(number));
+        let held = numbers
+            .iter()
+            .filter_map(|number| self.by_number.remove(number));
         held.collect()
     }
 
--- a/src/plan/cycle_state.rs
+++ b/src/plan/cycle_state.rs
@@ -1,12 +1,15 @@
 //! The snapshot with what the cycle has decided so far.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use super::decision::{Decision, PlannedPlacement, PlannedReservation, PlannedStop, UnmetDemand};
+use super::image_map::{ImageMachines, ImageMap};
 use super::resources::Resources;
+use super::room_ledger::RoomLedger;
 use super::search::{Assignment, SearchMode};
 use super::snapshot::{JobView, MachineView, Reservation, Snapshot, TeamView};
+use crate::job::Priority;
 
 /// A task by the index of its machine and its index there.
 pub(super) type TaskIndex = (usize, usize);
@@ -19,24 +22,30 @@
     pub ordinary_penalty_s: f64,
     pub free: Vec<Resources>,
     reservations: Vec<Vec<Reservation>>,
-    /// Jobs with reservations.
-    holders: HashSet<Arc<str>>,
-    /// Victims chosen in this cycle: no job sees them again.
-    victims: HashSet<TaskIndex>,
+    /// Jobs with reservations, and the machines of these.
+    holders: HashMap<Arc<str>, Vec<usize>>,
+    /// Victims chosen in this cycle, by machine: no job sees them again.
+    victims: Vec<Vec<usize>>,
     /// Room that gangs without a place would use, by machine. It is free for whoever can
     /// start now, but counts only once when asking what is missing.
-    promised: HashMap<usize, Resources>,
-    /// Tasks that would make room for those gangs.
-    prospective_victims: HashSet<TaskIndex>,
+    promised: Vec<Resources>,
+    /// Tasks that would make room for those gangs, by machine.
+    prospective_victims: Vec<Vec<usize>>,
     /// The search is for what is missing.
     counting_missing: bool,
     /// One machine of each kind: machines of a kind are alike to a job's demands.
     pub kinds: Vec<usize>,
     /// Each machine's kind.
     pub kind_of: Vec<usize>,
-    /// Machines with room for the smallest demand in the queue: on a full fleet few. Room
-    /// only shrinks within a cycle, so no other can take a task as it is.
-    open: Vec<usize>,
+    /// No job of the queue asks for less of anything: room only shrinks within a cycle, so
+    /// machines without room for it can't take a task as they are.
+    smallest_demand: Resources,
+    /// Who has or fetches which image.
+    images: ImageMap,
+    /// Room as it is.
+    room: RoomLedger,
+    /// Room less what is promised, once somebody asked what is missing.
+    unpromised_room: Option<RoomLedger>,
 }
 
 impl CycleState {
@@ -44,20 +53,20 @@
     pub fn new(snapshot: Snapshot, smallest_demand: Resources) -> CycleState {
         let machines = snapshot.machines;
         let (kinds, kind_of) = group_by_kind(&machines);
-        let reservations = machines.iter().flat_map(|machine| &machine.reservations);
-        CycleState {
+        let mut holders: HashMap<Arc<str>, Vec<usize>> = HashMap::new();
+        for (index, machine) in machines.iter().enumerate() {
+            for held in &machine.reservations {
+                holders.entry(held.job.clone()).or_default().push(index);
+            }
+        }
+        let reservations = machines.iter().map(|machine| machine.reservations.clone());
+        let mut state = CycleState {
             free: machines.iter().map(|machine| machine.free).collect(),
-            open: (0..machines.len())
-                .filter(|index| machines[*index].free.fits(smallest_demand))
-                .collect(),
-            holders: reservations.map(|held| held.job.clone()).collect(),
-            reservations: machines
-                .iter()
-                .map(|machine| machine.reservations.clone())
-                .collect(),
-            victims: HashSet::new(),
-            promised: HashMap::new(),
-            prospective_victims: HashSet::new(),
+            reservations: reservations.collect(),
+            holders,
+            victims: vec![vec![]; machines.len()],
+            promised: vec![Resources::default(); machines.len()],
+            prospective_victims: vec![vec![]; machines.len()],
             counting_missing: false,
             machines,
             teams: snapshot.teams,
@@ -65,7 +74,13 @@
             ordinary_penalty_s: snapshot.ordinary_penalty_s,
             kinds,
             kind_of,
-        }
+            smallest_demand,
+            images: ImageMap::default(),
+            room: RoomLedger::default(),
+            unpromised_room: None,
+        };
+        state.room = RoomLedger::new(&state);
+        state
     }
 
     /// Whether a team's unfinished work fits into its guarantee.
@@ -89,95 +104,126 @@
 
     /// Whether room is held for a job.
     pub fn holds_room(&self, job: &JobView) -> bool {
-        self.holders.contains(&job.id)
+        self.holders.contains_key(&job.id)
     }
 
     /// Room for a job: what is held for others is not, unless it is more urgent.
-    pub fn free_for(&self, machine: usize, job: &JobView) -> Resources {
+    pub fn free_for(&self, machine: usize, job: &Arc<str>, priority: Priority) -> Resources {
+        self.free_beside(machine, |held| {
+            held.job != *job && held.priority >= priority
+        })
+    }
+
+    /// Room for a job of a priority that holds none on the machine.
+    pub fn free_for_priority(&self, machine: usize, priority: Priority) -> Resources {
+        self.free_beside(machine, |held| held.priority >= priority)
+    }
+
+    /// The room beside all that is held, if it is enough for the smallest demand.
+    pub fn unreserved_room(&self, machine: usize) -> Option<Resources> {
+        let free = self.free_beside(machine, |_| true);
+        free.fits(self.smallest_demand).then_some(free)
+    }
+
+    fn free_beside(&self, machine: usize, counts: impl Fn(&Reservation) -> bool) -> Resources {
         let mut free = self.free[machine];
         for held in &self.reservations[machine] {
-            if held.job != job.id && held.priority >= job.spec.priority {
+            if counts(held) {
                 free.sub(held.resources);
             }
         }
-        let promised = self.promised.get(&machine);
-        if let Some(promised) = promised.filter(|_| self.counting_missing) {
-            free.sub(*promised);
+        if self.counting_missing {
+            free.sub(self.promised[machine]);
         }
         free
     }
 
-    /// The machines that a search has to look at.
-    pub fn candidates(&self, mode: SearchMode) -> Vec<usize> {
-        if mode == SearchMode::WithVictims {
-            return (0..self.machines.len()).collect();
-        }
-        let mut candidates = self.open.clone();
-        if self.counting_missing {
-            // Victims of others may have made room.
-            candidates.extend(self.promised.keys());
-            candidates.sort_unstable();
-            candidates.dedup();
-        }
-        candidates
+    /// The room that is held on a machine.
+    pub fn reservations_on(&self, machine: usize) -> &[Reservation] {
+        &self.reservations[machine]
     }
 
-    /// Whether a job's image is on a machine, or being fetched.
-    pub fn has_image(&self, machine: usize, job: &JobView) -> bool {
-        let images = &self.machines[machine].images;
-        images.iter().any(|image| **image == *job.spec.image)
+    /// The machines with room that is held for a job.
+    pub fn machines_held_for(&self, job: &JobView) -> &[usize] {
+        self.holders.get(&job.id).map_or(&[], Vec::as_slice)
     }
 
-    /// Whether a task may be stopped to make room for a job: it has a lower priority, or
-    /// it runs on room that its team borrows from the job's.
-    pub fn may_stop(&self, task: TaskIndex, job: &JobView, within_guarantee: bool) -> bool {
-        let view = &self.machines[task.0].tasks[task.1];
-        let taken = self.victims.contains(&task)
-            || (self.counting_missing && self.prospective_victims.contains(&task));
-        let borrowed = || {
-            let team = self.teams.get(&*view.team);
-            *view.team != *job.spec.team && team.is_some_and(TeamView::borrows)
-        };
-        view.stoppable
-            && view.job != job.id
-            && !taken
-            && (view.priority < job.spec.priority || (within_guarantee && borrowed()))
+    /// Makes sure that it is known who has an image.
+    pub fn prepare_image(&mut self, image: &str) {
+        self.images.prepare(image, &self.machines);
     }
 
-    /// The room there would be with all that may be stopped.
-    pub fn most_room(
-        &self,
-        machine: usize,
-        job: &JobView,
-        free: Resources,
-        within_guarantee: bool,
-    ) -> Resources {
-        let view = &self.machines[machine];
-        let mut room = free;
-        let lowest = view.lowest_priority;
-        if !within_guarantee && lowest.is_none_or(|lowest| lowest >= job.spec.priority) {
-            return room;
+    /// Machines that have or fetch an image, once prepared.
+    pub fn machines_with_image(&self, image: &str) -> &[usize] {
+        self.images.get(image).map_or(&[], ImageMachines::machines)
+    }
+
+    /// Who has or fetches an image, once prepared.
+    pub fn image_machines(&self, image: &str) -> Option<&ImageMachines> {
+        self.images.get(image)
+    }
+
+    /// The room that a search goes by.
+    pub fn room(&self) -> &RoomLedger {
+        let unpromised = self.unpromised_room.as_ref();
+        let unpromised = unpromised.filter(|_| self.counting_missing);
+        unpromised.unwrap_or(&self.room)
+    }
+
+    /// Prepares the room that a search goes by.
+    pub fn prepare_room(&mut self, prepare: impl FnOnce(&mut RoomLedger, &CycleState)) {
+        if self.counting_missing && self.unpromised_room.is_none() {
+            self.unpromised_room = Some(RoomLedger::new(self));
+        }
+        let mut ledger = if self.counting_missing {
+            self.unpromised_room.take().unwrap_or_default()
+        } else {
+            std::mem::take(&mut self.room)
+        };
+        prepare(&mut ledger, self);
+        if self.counting_missing {
+            self.unpromised_room = Some(ledger);
+        } else {
+            self.room = ledger;
         }
-        for (index, task) in view.tasks.iter().enumerate() {
-            if self.may_stop((machine, index), job, within_guarantee) {
-                room.add(task.resources);
+    }
+
+    /// Something about these machines has changed.
+    fn update_room(&mut self, machines: &BTreeSet<usize>) {
+        let update = |ledger: &mut RoomLedger, state: &CycleState| {
+            for machine in machines {
+                ledger.update(state, *machine);
             }
+        };
+        self.prepare_room(update);
+        if self.unpromised_room.is_some() && !self.counting_missing {
+            self.counting_missing = true;
+            self.prepare_room(update);
+            self.counting_missing = false;
         }
-        room
+    }
+
+    /// Whether a task is to be stopped for another job already.
+    pub fn is_victim(&self, task: TaskIndex) -> bool {
+        let (machine, index) = task;
+        self.victims[machine].contains(&index)
+            || (self.counting_missing && self.prospective_victims[machine].contains(&index))
     }
 
     /// Takes the room of an assignment, in place of what was held for the job.
     fn apply(&mut self, job: &JobView, assignment: &Assignment) {
         let demand = Resources::of(&job.spec);
+        let mut changed = BTreeSet::new();
         for (_, machine) in &assignment.tasks {
             self.free[*machine].sub(demand);
+            changed.insert(*machine);
         }
         self.charge_team(job, assignment.tasks.len());
-        if self.holders.remove(&job.id) {
-            for reservations in &mut self.reservations {
-                reservations.retain(|held| held.job != job.id);
-            }
+        for machine in self.holders.remove(&job.id).unwrap_or_default() {
+            self.reservations[machine].retain(|held| held.job != job.id);
+            changed.insert(machine);
         }
+        self.update_room(&changed);
     }
 
     /// Gives tasks of a job their places; those without one move to the end of `pending`.
@@ -214,8 +260,10 @@
 
     /// Chooses the victims of an assignment and holds room for the job's tasks.
     pub fn preempt(&mut self, job: &JobView, assignment: &Assignment, decision: &mut Decision) {
+        let mut changed = BTreeSet::new();
         for (machine, index) in &assignment.victims {
-            self.victims.insert((*machine, *index));
+            self.victims[*machine].push(*index);
+            changed.insert(*machine);
             let view = &self.machines[*machine];
             let victim = &view.tasks[*index];
             decision.stops.push(PlannedStop {
@@ -237,7 +285,9 @@
                 machine: self.machines[*machine].name.clone(),
                 resources,
             });
+            changed.insert(*machine);
         }
+        self.update_room(&changed);
     }
 
     /// What a gang lacks: part of it may have room already, which then is not there for
@@ -255,16 +305,22 @@
         unmet.count -= assignment.tasks.len() as u32;
         for (machine, index) in &assignment.victims {
             let freed = self.machines[*machine].tasks[*index].resources;
-            self.promised.entry(*machine).or_default().sub(freed);
-            self.prospective_victims.insert((*machine, *index));
+            self.promised[*machine].sub(freed);
+            self.prospective_victims[*machine].push(*index);
         }
+        let with_victims = assignment.victims.iter().map(|(machine, _)| *machine);
+        let with_tasks = assignment.tasks.iter().map(|(_, machine)| *machine);
+        let changed: BTreeSet<usize> = with_victims.chain(with_tasks).collect();
         let demand = Resources::of(&job.spec);
         for (_, machine) in &assignment.tasks {
             let view = &self.machines[*machine];
             *unmet.zones.entry(view.zone.clone()).or_insert(0) += 1;
             unmet.machines.push(view.name.clone());
-            self.promised.entry(*machine).or_default().add(demand);
+            self.promised[*machine].add(demand);
         }
+        self.counting_missing = true;
+        self.update_room(&changed);
+        self.counting_missing = false;
         unmet
     }
 
@@ -290,6 +346,7 @@
         let known = kinds.iter().position(|kind| {
             let other = &machines[*kind];
             other.spot == machine.spot
+                && other.total == machine.total
                 && same(&other.machine_type, &machine.machine_type)
                 && same(&other.zone, &machine.zone)
         });
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -4,10 +4,14 @@
 mod cycle;
 mod cycle_state;
 mod decision;
+mod image_map;
 mod order;
 mod resources;
+mod room_index;
+mod room_ledger;
 mod search;
 mod snapshot;
+mod victims;
 
 pub use cycle::cycle;
 pub use decision::{Decision, PlannedPlacement, PlannedReservation, PlannedStop, UnmetDemand};
--- a/src/plan/search.rs
+++ b/src/plan/search.rs
@@ -1,11 +1,21 @@
 //! The search for places for a job's tasks.
+//!
+//! The machines come from the indexes of [`RoomLedger`](super::room_ledger::RoomLedger) in
+//! the order of what a place on them costs, so a search costs by what it takes and not by
+//! how many machines there are.
 
 use std::cmp::Ordering;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::iter::Peekable;
 
 use super::cycle_state::{CycleState, TaskIndex};
+use super::image_map::ImageMachines;
 use super::resources::{fetch_s, Resources};
+use super::room_index::{RoomIndex, ShelfIter};
+use super::room_ledger::kind_totals;
 use super::snapshot::{is_allowed, tasks_per_zone_max, JobView, ZoneCounts};
+use super::victims::{OfferIter, Preemptor};
+use crate::job::JobSpec;
 
 /// Which machines a job is tried on.
 #[derive(Clone, Copy, PartialEq)]
@@ -37,6 +47,18 @@
     free: Resources,
     /// Indexes of tasks that would have to go.
     victims: Vec<usize>,
+    origin: Origin,
+}
+
+/// Where a candidate comes from.
+#[derive(Clone, Copy, PartialEq)]
+enum Origin {
+    /// From a source of machines with room, which then gives its next.
+    Source(usize),
+    /// From an offer: its victims have yet to be chosen.
+    Offer,
+    /// It was looked at by itself.
+    Look,
 }
 
 impl PartialEq for Candidate {
@@ -62,23 +84,42 @@
     }
 }
 
-/// What a first look at all machines found.
-struct FirstLook {
-    /// Machines with room for a task.
-    free: BinaryHeap<Candidate>,
-    /// Machines that would have room for a task if others went.
-    with_victims: Vec<usize>,
-    /// How many tasks could be placed at most.
-    tasks_max: u64,
-    skipped_machines: bool,
+/// Machines in the order of what a place on them costs.
+struct Source<'a> {
+    machines: ShelfIter<'a>,
+    /// All of them have the image.
+    has_image: bool,
+}
+
+/// Machines with room, the cheapest first.
+struct FreeMachines<'a> {
+    sources: Vec<Source<'a>>,
+    heap: BinaryHeap<Candidate>,
+}
+
+/// Machines on which others would have to go, the cheapest first.
+struct VictimMachines<'a> {
+    /// What those with the image offer.
+    with_image: Option<Peekable<OfferIter<'a>>>,
+    /// What all offer, fetches not counted.
+    all: Option<Peekable<OfferIter<'a>>>,
+    /// What a fetch of the image costs at least.
+    fetch_min_s: f64,
+    heap: BinaryHeap<Candidate>,
 }
 
 /// A search in progress.
 struct Search<'a> {
     state: &'a CycleState,
     job: &'a JobView,
+    preemptor: &'a Preemptor,
+    image_machines: Option<&'a ImageMachines>,
     demand: Resources,
-    within_guarantee: bool,
+    mode: SearchMode,
+    kind_allowed: Vec<bool>,
+    /// Machines on which the job has room that the indexes don't know of: what is held for
+    /// itself, or for less urgent ones.
+    more_room: BTreeSet<usize>,
     /// Free room on machines that have been given tasks.
     free: HashMap<usize, Resources>,
     /// Victims chosen so far.
@@ -91,18 +132,42 @@
     /// Tries to place `pending` tasks of a job, at least `min_count` of them or none, in
     /// the best zone if the job must be in one.
     pub fn search(
-        &self,
+        &mut self,
         job: &JobView,
         pending: &[u32],
         mode: SearchMode,
         min_count: usize,
     ) -> Option<Assignment> {
+        let preemptor = Preemptor::new(self, job);
+        self.prepare_room(|_, _| ());
+        if mode != SearchMode::WithVictims && self.room().is_full() {
+            // On a full fleet nothing need be prepared for the many jobs that wait.
+            return (min_count == 0).then(Assignment::default);
+        }
+        self.prepare_image(&job.spec.image);
+        self.prepare_room(|ledger, state| {
+            ledger.prepare_image(state, job);
+            if mode == SearchMode::WithVictims {
+                ledger.prepare_offers(state, &preemptor);
+            }
+        });
+        let query = Query {
+            job,
+            preemptor: &preemptor,
+            mode,
+            min_count,
+        };
+        self.search_zones(&query, pending)
+    }
+
+    fn search_zones(&self, query: &Query, pending: &[u32]) -> Option<Assignment> {
+        let job = query.job;
         if !job.spec.single_zone {
-            return self.search_zone(job, pending, None, mode, min_count);
+            return self.search_zone(query, pending, None);
         }
         let mut best: Option<(Assignment, f64)> = None;
         for zone in self.possible_zones(job) {
-            let found = self.search_zone(job, pending, Some(zone), mode, min_count);
+            let found = self.search_zone(query, pending, Some(zone));
             let Some(found) = found else { continue };
             let cost_s = self.placement_cost_s(job, &found);
             let better = best.as_ref().is_none_or(|(other, other_cost_s)| {
@@ -133,22 +198,31 @@
 
     fn placement_cost_s(&self, job: &JobView, assignment: &Assignment) -> f64 {
         let machines = assignment.tasks.iter().map(|(_, machine)| *machine);
-        let costs =
-            machines.map(|machine| self.cost_s(machine, job, self.machines[machine].total, false));
+        let costs = machines.map(|machine| {
+            let fetch_cost_s = self.fetch_cost_s(machine, job, self.has_image(machine, job));
+            fetch_cost_s + self.place_cost_s(machine, &job.spec, self.machines[machine].total)
+        });
         costs.sum()
     }
 
-    /// The cost of a place: seconds of fetching, a penalty for an ordinary machine where a
-    /// spot one would do, and what is left over. `is_fetching`: another task of the job is
-    /// to go there, and its image.
-    fn cost_s(&self, machine: usize, job: &JobView, free: Resources, is_fetching: bool) -> f64 {
+    /// Whether a job's image is on a machine, or being fetched; known once a search for the
+    /// job was prepared.
+    fn has_image(&self, machine: usize, job: &JobView) -> bool {
+        let known = self.image_machines(&job.spec.image);
+        known.is_some_and(|known| known.contains(machine))
+    }
+
+    fn fetch_cost_s(&self, machine: usize, job: &JobView, has_image: bool) -> f64 {
+        if has_image {
+            return 0.0;
+        }
+        fetch_s(job.spec.image_gb, self.machines[machine].fetch_gb_per_s)
+    }
+
+    /// The cost of a place, fetches aside: a penalty for an ordinary machine where a spot one
+    /// would do, and what is left over.
+    pub fn place_cost_s(&self, machine: usize, spec: &JobSpec, free: Resources) -> f64 {
         let view = &self.machines[machine];
-        let spec = &job.spec;
-        let fetch_s = if is_fetching || self.has_image(machine, job) {
-            0.0
-        } else {
-            fetch_s(spec.image_gb, view.fetch_gb_per_s)
-        };
         let penalty_s = if spec.spot && !view.spot {
             self.ordinary_penalty_s
         } else {
@@ -157,55 +231,75 @@
         let mut left = free;
         left.sub(Resources::of(spec));
         // A nearly empty machine may soon be returned: fill the others first.
-        fetch_s + penalty_s + self.ordinary_penalty_s * left.share_of(view.total)
+        penalty_s + self.ordinary_penalty_s * left.share_of(view.total)
     }
 
     /// Tries to place tasks on the machines of `zone`, or of all zones.
     fn search_zone(
         &self,
-        job: &JobView,
+        query: &Query,
         pending: &[u32],
         zone: Option<&str>,
-        mode: SearchMode,
-        min_count: usize,
     ) -> Option<Assignment> {
-        let mut search = Search::new(self, job);
-        let look = search.first_look(zone, mode);
-        let mut found = Assignment {
-            skipped_machines: look.skipped_machines,
-            ..Assignment::default()
-        };
-        if look.tasks_max < min_count as u64 || look.tasks_max == 0 {
-            return (min_count == 0).then_some(found);
+        let min_count = query.min_count;
+        let mut search = Search::new(self, query, zone);
+        let mut found = Assignment::default();
+        if query.mode == SearchMode::WithVictims && !search.can_hold(min_count) {
+            return None;
         }
-        let mut free = look.free;
-        let mut with_victims: Option<BinaryHeap<Candidate>> = None;
+        let mut free = search.free_machines();
+        let mut with_victims: Option<VictimMachines> = None;
         for (index, task) in pending.iter().enumerate() {
             // The cycle ends once the minimum count is out of reach.
             if found.tasks.len() + (pending.len() - index) < min_count {
                 return None;
             }
             let mut candidate = search.next_free(&mut free);
-            if candidate.is_none() && mode == SearchMode::WithVictims {
-                let heap =
-                    with_victims.get_or_insert_with(|| search.victim_heap(&look.with_victims));
-                candidate = search.next_with_victims(heap);
+            if candidate.is_none() && query.mode == SearchMode::WithVictims {
+                let machines = with_victims.get_or_insert_with(|| search.victim_machines());
+                candidate = search.next_with_victims(machines);
             }
             // Tasks are alike: where one finds nothing, none does.
             let Some(candidate) = candidate else { break };
             search.take(*task, candidate, &mut found, &mut free, &mut with_victims);
         }
+        found.skipped_machines = query.mode == SearchMode::Cached
+            && found.tasks.len() < pending.len()
+            && search.has_room_without_image();
         (found.tasks.len() >= min_count).then_some(found)
     }
 }
 
+/// What is searched for.
+struct Query<'a> {
+    job: &'a JobView,
+    preemptor: &'a Preemptor,
+    mode: SearchMode,
+    min_count: usize,
+}
+
 impl<'a> Search<'a> {
-    fn new(state: &'a CycleState, job: &'a JobView) -> Search<'a> {
+    fn new(state: &'a CycleState, query: &Query<'a>, zone: Option<&str>) -> Search<'a> {
+        let job = query.job;
+        let allowed = |kind: &usize| {
+            let view = &state.machines[*kind];
+            is_allowed(&job.spec, &view.machine_type, &view.zone, view.spot)
+                && zone.is_none_or(|zone| *zone == *view.zone)
+        };
+        let kind_allowed: Vec<bool> = state.kinds.iter().map(allowed).collect();
+        let held = state.machines_held_for(job).iter().copied();
+        let less_urgent = state.room().reserved_below(job.spec.priority);
+        let more_room = held.chain(less_urgent);
+        let more_room = more_room.filter(|machine| kind_allowed[state.kind_of[*machine]]);
         Search {
+            more_room: more_room.collect(),
             state,
             job,
+            preemptor: query.preemptor,
+            image_machines: state.image_machines(&job.spec.image),
             demand: Resources::of(&job.spec),
-            within_guarantee: state.within_guarantee(&job.spec.team),
+            mode: query.mode,
+            kind_allowed,
             free: HashMap::new(),
             taken: HashSet::new(),
             zones: job.zones.clone(),
@@ -213,59 +307,133 @@
         }
     }
 
-    /// Looks at all machines: what fits, and whether the minimum count can be had.
-    fn first_look(&self, zone: Option<&str>, mode: SearchMode) -> FirstLook {
-        let (state, job) = (self.state, self.job);
-        let kind_allowed = self.allowed_kinds(zone);
-        let mut look = FirstLook {
-            free: BinaryHeap::new(),
-            with_victims: vec![],
-            tasks_max: 0,
-            skipped_machines: false,
-        };
-        for machine in state.candidates(mode) {
-            let name = &state.machines[machine].name;
-            if !kind_allowed[state.kind_of[machine]] || job.avoided_machines.contains(name) {
+    fn has_image(&self, machine: usize) -> bool {
+        let known = self.image_machines;
+        known.is_some_and(|known| known.contains(machine))
+    }
+
+    /// The cost of a place: seconds of fetching, and of what else
+    /// [`CycleState::place_cost_s`] counts. `is_fetching`: another task of the job is to go
+    /// there, and its image.
+    fn cost_s(&self, machine: usize, free: Resources, is_fetching: bool) -> f64 {
+        let has_image = is_fetching || self.has_image(machine);
+        let place_cost_s = self.state.place_cost_s(machine, &self.job.spec, free);
+        self.state.fetch_cost_s(machine, self.job, has_image) + place_cost_s
+    }
+
+    fn is_allowed(&self, machine: usize) -> bool {
+        let name = &self.state.machines[machine].name;
+        self.kind_allowed[self.state.kind_of[machine]] && !self.job.avoided_machines.contains(name)
+    }
+
+    fn free_for(&self, machine: usize) -> Resources {
+        let job = self.job;
+        self.state.free_for(machine, &job.id, job.spec.priority)
+    }
+
+    /// Whether all machines together hold so many tasks, with all gone that may be stopped.
+    fn can_hold(&self, count: usize) -> bool {
+        let offers = self.state.room().offers_for(self.preemptor);
+        let offering = offers.into_iter().flat_map(|offers| offers.iter());
+        let offering = offering.map(|(_, machine)| machine);
+        let offering = offering.filter(|machine| !self.more_room.contains(machine));
+        let mut held = 0;
+        for machine in self.more_room.iter().copied().chain(offering) {
+            if held >= count as u64 {
+                break;
+            }
+            if !self.is_allowed(machine) {
                 continue;
             }
-            let free = state.free_for(machine, job);
-            let fits = free.fits(self.demand);
-            if mode == SearchMode::Cached && fits && !state.has_image(machine, job) {
-                look.skipped_machines = true;
+            held += u64::from(self.state.most_tasks(machine, self.preemptor));
+        }
+        held >= count as u64
+    }
+
+    /// The machines with room for a task.
+    fn free_machines(&self) -> FreeMachines<'a> {
+        let ledger = self.state.room();
+        let totals = kind_totals(self.state);
+        let shelves = |index: &'a RoomIndex, has_image| {
+            let shelves = index.shelves_for(self.demand, &self.kind_allowed, &totals);
+            shelves.into_iter().map(move |machines| Source {
+                machines,
+                has_image,
+            })
+        };
+        let with_image = ledger.with_image(self.job).into_iter();
+        let mut sources: Vec<Source> = with_image.flat_map(|index| shelves(index, true)).collect();
+        if self.mode != SearchMode::Cached {
+            sources.extend(shelves(&ledger.all, false));
+        }
+        let mut free = FreeMachines {
+            heap: BinaryHeap::new(),
+            sources,
+        };
+        for source in 0..free.sources.len() {
+            self.advance(&mut free, source);
+        }
+        for machine in self.more_room.iter().copied() {
+            let room = self.free_for(machine);
+            if !self.is_allowed(machine) {
                 continue;
             }
-            if fits {
-                look.free.push(self.free_candidate(machine, free, false));
+            let cached = self.mode != SearchMode::Cached || self.has_image(machine);
+            if room.fits(self.demand) && cached {
+                free.heap.push(self.free_candidate(machine, room, false));
             }
-            if mode == SearchMode::WithVictims {
-                let room = state.most_room(machine, job, free, self.within_guarantee);
-                let tasks = room.count_of(self.demand);
-                if tasks > 0 {
-                    look.tasks_max += u64::from(tasks);
-                    look.with_victims.push(machine);
-                }
-            } else if fits {
-                look.tasks_max += u64::from(free.count_of(self.demand));
+        }
+        free
+    }
+
+    /// Takes the next machine with room out of a source.
+    fn advance(&self, free: &mut FreeMachines, source: usize) {
+        let Source {
+            machines,
+            has_image,
+        } = &mut free.sources[source];
+        for machine in machines {
+            let room = self.free_for(machine);
+            let name = &self.state.machines[machine].name;
+            let avoided = self.job.avoided_machines.contains(name);
+            if !room.fits(self.demand) || avoided || self.more_room.contains(&machine) {
+                continue;
             }
+            let fetch_cost_s = self.state.fetch_cost_s(machine, self.job, *has_image);
+            let place_cost_s = self.state.place_cost_s(machine, &self.job.spec, room);
+            free.heap.push(Candidate {
+                cost_s: fetch_cost_s + place_cost_s,
+                machine,
+                free: room,
+                victims: vec![],
+                origin: Origin::Source(source),
+            });
+            return;
         }
-        look
     }
 
-    fn allowed_kinds(&self, zone: Option<&str>) -> Vec<bool> {
-        let allowed = |kind: &usize| {
-            let view = &self.state.machines[*kind];
-            is_allowed(&self.job.spec, &view.machine_type, &view.zone, view.spot)
-                && zone.is_none_or(|zone| *zone == *view.zone)
-        };
-        self.state.kinds.iter().map(allowed).collect()
+    /// Whether a machine without the image has room for a task.
+    fn has_room_without_image(&self) -> bool {
+        let totals = kind_totals(self.state);
+        let all = &self.state.room().all;
+        let shelves = all.shelves_for(self.demand, &self.kind_allowed, &totals);
+        let machines = shelves.into_iter().flatten();
+        let machines = machines.chain(self.more_room.iter().copied());
+        let mut without_image = machines.filter(|machine| {
+            self.is_allowed(*machine)
+                && !self.has_image(*machine)
+                && self.free_for(*machine).fits(self.demand)
+        });
+        without_image.next().is_some()
     }
 
     fn free_candidate(&self, machine: usize, free: Resources, is_fetching: bool) -> Candidate {
         Candidate {
-            cost_s: self.state.cost_s(machine, self.job, free, is_fetching),
+            cost_s: self.cost_s(machine, free, is_fetching),
             machine,
             free,
             victims: vec![],
+            origin: Origin::Look,
         }
     }
 
@@ -278,9 +446,16 @@
     }
 
     /// The cheapest machine with room as it is.
-    fn next_free(&self, heap: &mut BinaryHeap<Candidate>) -> Option<Candidate> {
-        while let Some(candidate) = heap.pop() {
-            if self.is_current(&candidate) && self.zone_has_room(candidate.machine) {
+    fn next_free(&self, free: &mut FreeMachines) -> Option<Candidate> {
+        while let Some(candidate) = free.heap.pop() {
+            let mut has_image = true;
+            if let Origin::Source(source) = candidate.origin {
+                has_image = free.sources[source].has_image;
+                self.advance(free, source);
+            }
+            // What has the image comes, or came, from a source of those that do.
+            let is_other = !has_image && self.has_image(candidate.machine);
+            if !is_other && self.is_current(&candidate) && self.zone_has_room(candidate.machine) {
                 return Some(candidate);
             }
         }
@@ -294,74 +469,111 @@
         free.is_none_or(|free| *free == candidate.free)
     }
 
-    fn victim_heap(&self, machines: &[usize]) -> BinaryHeap<Candidate> {
-        let candidate = |machine: &usize| {
-            let free = self.free.get(machine).copied();
-            let free = free.unwrap_or_else(|| self.state.free_for(*machine, self.job));
-            self.victim_candidate(*machine, free)
+    /// The machines that would have room if others went. Those that were given tasks, and
+    /// those with more room than the offers know of, are looked at one by one.
+    fn victim_machines(&self) -> VictimMachines<'a> {
+        let state = self.state;
+        let offers = state.room().offers_for(self.preemptor);
+        let given = self.free.keys().copied();
+        let more_room = self.more_room.iter().copied();
+        let more_room = more_room.filter(|machine| self.is_allowed(*machine));
+        let looked_at: HashSet<usize> = given.chain(more_room).collect();
+        let candidate = |machine: usize| {
+            let free = self.free.get(&machine).copied();
+            let free = free.unwrap_or_else(|| self.free_for(machine));
+            self.victim_candidate(machine, free)
         };
-        machines.iter().filter_map(candidate).collect()
+        let kinds = state.kinds.iter();
+        let fetch_times = kinds.map(|machine| state.fetch_cost_s(*machine, self.job, false));
+        let with_image = offers.and_then(|offers| offers.iter_with_image(&self.job.spec.image));
+        VictimMachines {
+            with_image: with_image.map(Iterator::peekable),
+            all: offers.map(|offers| offers.iter().peekable()),
+            fetch_min_s: fetch_times.fold(f64::INFINITY, f64::min),
+            heap: looked_at.into_iter().filter_map(candidate).collect(),
+        }
     }
 
     /// The cheapest machine on which others would have to go.
-    fn next_with_victims(&self, heap: &mut BinaryHeap<Candidate>) -> Option<Candidate> {
-        while let Some(candidate) = heap.pop() {
+    fn next_with_victims(&self, machines: &mut VictimMachines) -> Option<Candidate> {
+        loop {
+            self.take_offers(machines);
+            let mut candidate = machines.heap.pop()?;
             if !self.zone_has_room(candidate.machine) {
                 continue;
             }
+            let free = self.free.get(&candidate.machine).copied();
+            if candidate.origin == Origin::Offer && free.is_none() {
+                match self.victim_candidate(candidate.machine, candidate.free) {
+                    Some(checked) => candidate = checked,
+                    None => continue,
+                }
+            }
             if self.is_current(&candidate) {
                 return Some(candidate);
             }
-            let free = self.free.get(&candidate.machine).copied();
             let free = free.unwrap_or(candidate.free);
-            heap.extend(self.victim_candidate(candidate.machine, free));
+            let renewed = self.victim_candidate(candidate.machine, free);
+            machines.heap.extend(renewed);
         }
-        None
     }
 
-    /// The victims that make room for one task on a machine, and the cost.
-    fn victim_candidate(&self, machine: usize, free: Resources) -> Option<Candidate> {
-        let view = &self.state.machines[machine];
-        let lost_s = |index: usize| {
-            let task = &view.tasks[index];
-            let ran_s = |since_s: f64| (self.state.now_s - since_s).max(0.0);
-            task.stop_cost_s + task.running_since_s.map_or(0.0, ran_s)
-        };
-        let mut possible: Vec<usize> = (0..view.tasks.len())
-            .filter(|index| {
-                let task = (machine, *index);
-                !self.taken.contains(&task)
-                    && self.state.may_stop(task, self.job, self.within_guarantee)
-            })
-            .collect();
-        possible.sort_by(|a, b| {
-            let priorities = view.tasks[*a].priority.cmp(&view.tasks[*b].priority);
-            priorities.then(lost_s(*a).total_cmp(&lost_s(*b)))
-        });
-        let mut room = free;
-        let mut victims = Vec::new();
-        for index in possible {
-            if room.fits(self.demand) {
-                break;
+    /// Takes in offers that may be cheaper than all known.
+    fn take_offers(&self, machines: &mut VictimMachines) {
+        let VictimMachines {
+            with_image,
+            all,
+            fetch_min_s,
+            heap,
+        } = machines;
+        loop {
+            let best_s = heap.peek().map_or(f64::INFINITY, |best| best.cost_s);
+            let cached = with_image
+                .as_mut()
+                .and_then(|offers| offers.next_if(|(cost_s, _)| *cost_s <= best_s));
+            if let Some((machine, cost_s)) = cached.map(|(cost_s, machine)| (machine, cost_s)) {
+                heap.extend(self.offered(machine, cost_s, true));
+                continue;
+            }
+            let uncached = all
+                .as_mut()
+                .and_then(|offers| offers.next_if(|(cost_s, _)| *cost_s + *fetch_min_s <= best_s));
+            let Some((cost_s, machine)) = uncached else {
+                return;
+            };
+            if !self.has_image(machine) {
+                heap.extend(self.offered(machine, cost_s, false));
             }
-            room.add(view.tasks[index].resources);
-            victims.push(index);
         }
-        if !room.fits(self.demand) {
+    }
+
+    /// The offer of a machine that is as it was when the search began.
+    fn offered(&self, machine: usize, cost_s: f64, has_image: bool) -> Option<Candidate> {
+        let looked_at = self.free.contains_key(&machine) || self.more_room.contains(&machine);
+        if looked_at || !self.is_allowed(machine) {
             return None;
         }
-        // What stopping wastes counts by the share of the machine.
-        let waste_s = |index: &usize| {
-            let share = view.tasks[*index].resources.share_of(view.total);
-            (lost_s(*index) + 1.0) * share
-        };
-        let cost_s = victims.iter().map(waste_s).sum::<f64>()
-            + self.state.cost_s(machine, self.job, room, false);
         Some(Candidate {
-            cost_s,
+            cost_s: cost_s + self.state.fetch_cost_s(machine, self.job, has_image),
+            machine,
+            free: self.free_for(machine),
+            victims: vec![],
+            origin: Origin::Offer,
+        })
+    }
+
+    /// The victims that make room for one task on a machine, and the cost.
+    fn victim_candidate(&self, machine: usize, free: Resources) -> Option<Candidate> {
+        let choice = self
+            .state
+            .choose_victims(machine, self.preemptor, free, &self.taken)?;
+        let has_image = self.has_image(machine);
+        Some(Candidate {
+            cost_s: choice.cost_s + self.state.fetch_cost_s(machine, self.job, has_image),
             machine,
             free,
-            victims,
+            victims: choice.victims,
+            origin: Origin::Look,
         })
     }
 
@@ -371,8 +583,8 @@
         task: u32,
         candidate: Candidate,
         found: &mut Assignment,
-        free_heap: &mut BinaryHeap<Candidate>,
-        victim_heap: &mut Option<BinaryHeap<Candidate>>,
+        free_machines: &mut FreeMachines,
+        victim_machines: &mut Option<VictimMachines>,
     ) {
         let machine = candidate.machine;
         let view = &self.state.machines[machine];
@@ -385,9 +597,10 @@
         free.sub(self.demand);
         self.free.insert(machine, free);
         if free.fits(self.demand) {
-            free_heap.push(self.free_candidate(machine, free, true));
-        } else if let Some(heap) = victim_heap {
-            heap.extend(self.victim_candidate(machine, free));
+            let candidate = self.free_candidate(machine, free, true);
+            free_machines.heap.push(candidate);
+        } else if let Some(machines) = victim_machines {
+            machines.heap.extend(self.victim_candidate(machine, free));
         }
         *self.zones.entry(view.zone.clone()).or_insert(0) += 1;
         found.tasks.push((task, machine));
--- a/src/scheduler/records.rs
+++ b/src/scheduler/records.rs
@@ -182,9 +182,9 @@
     /// have waited the longest go as far as `spare_writes` changes allow.
     pub(super) fn write_changes(&mut self, now: u64, revision: u64, spare_writes: usize) {
         let may_write = |id: &Arc<str>| {
-            self.jobs.get(&**id).is_some_and(|job| {
-                now >= job.write_after && revision >= job.write_after_revision
-            })
+            self.jobs
+                .get(&**id)
+                .is_some_and(|job| now >= job.write_after && revision >= job.write_after_revision)
         };
         let urgent = self.unwritten.urgent.iter();
         let mut due: Vec<Arc<str>> = urgent.filter(|id| may_write(id)).cloned().collect();
--- a/src/write_queue.rs
+++ b/src/write_queue.rs
@@ -216,6 +216,10 @@
         if self.in_flight.len() >= IN_FLIGHT_MAX || self.waiting_count() == 0 {
             return None;
         }
+        // Asked before a transaction is put together, which costs far more.
+        if requests.available(now, 0.0) == 0 || self.limit.available(now, 0.0) == 0 {
+            return None;
+        }
         let batch = self.next_batch(now);
         if batch.requests.is_empty() {
             return None;
