Lists of any length, answers of any size, more machines than sockets

- The cloud's list: each page counts towards the limit of calls and is asked for again with backoff by itself; a page that repeats, an empty one that says there is more and a list without end are an error in the log, and the last good list stays.
- An answer larger than a sixteenth of the memory is told from none: changes that don't fit are read anew by pages, where the same watch was sent again and again for ever.
- Deletions that the limit of calls has no room for go out with the next call, not four seconds later: fourteen calls for a third of 4,000 machines took twelve seconds.
- With more machines than sockets a worker that finds no place is served on a connection of one request, so that the others keep theirs; room is found without a look at all connections for each newcomer.

--- a/src/machine.rs
+++ b/src/machine.rs
@@ -219,6 +219,8 @@
     pub return_reason: Option<ReturnReason>,
     /// When its deletion was last sent.
     pub delete_sent_at: Option<u64>,
+    /// Until then its deletion is not sent again.
+    pub next_delete_at: u64,
     /// When it was last asked for a report.
     pub probed_at: u64,
     /// When a start last went straight to it of which nothing is known yet.
@@ -272,6 +274,7 @@
             images: vec![],
             return_reason: None,
             delete_sent_at: None,
+            next_delete_at: 0,
             probed_at: 0,
             direct_start_at: None,
             unreachable_until: 0,
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -10,11 +10,10 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 
 use super::connection::{Connection, Role};
+use super::idlest::{IdleConnection, IdlestConnections};
 use super::{Event, Listener, Outcome, BODY_MAX, HEAD_MAX};
 
 const READ_MAX: usize = 16 * 1024;
-/// The state service's watch has no size limit of its own; ours.
-pub(super) const REPLY_MAX: usize = 16 * 1024 * 1024;
 const WAKE: Token = Token(0);
 const FRONT: Token = Token(1);
 const MESH: Token = Token(2);
@@ -26,6 +25,9 @@
 const SHARES: usize = 16;
 const SERVER_SHARES: usize = 12;
 const CLIENT_SHARES: usize = 3;
+/// The part of the places for those who connect that lasting connections of workers may
+/// take; the rest is for those who come and go.
+const CROWDED_SHARE: (usize, usize) = (7, 8);
 const SERVERS_MIN: usize = 8;
 const CLIENTS_MIN: usize = 4;
 /// Connections that are read, or taken in, in a row before another look at what
@@ -56,6 +58,8 @@
     pub vital: HashSet<SocketAddr>,
     /// A worker that has said nothing for so long is gone.
     pub worker_idle: Duration,
+    /// Largest answer to a call: the state service's watch has no limit of its own.
+    pub reply_max: usize,
 }
 
 /// All sockets of the process.
@@ -69,6 +73,8 @@
     pub(super) pool: HashMap<SocketAddr, Vec<usize>>,
     next_id: usize,
     servers: usize,
+    /// Those of them that have brought a worker's report.
+    pub(super) workers: usize,
     servers_max: usize,
     /// Connections to workers; those to `vital` addresses are few and not
     /// counted.
@@ -91,6 +97,8 @@
     buffer: Box<[u8]>,
     /// Connections with a call in progress.
     pub(super) calling: BTreeSet<usize>,
+    idlest_servers: IdlestConnections,
+    pub(super) idlest_clients: IdlestConnections,
     swept_at: Instant,
     pub(super) idle_swept_at: Instant,
 }
@@ -127,6 +135,7 @@
             pool: HashMap::new(),
             next_id: FIRST_CONNECTION,
             servers: 0,
+            workers: 0,
             servers_max: share(SERVER_SHARES).max(SERVERS_MIN),
             clients: 0,
             clients_max: share(CLIENT_SHARES).max(CLIENTS_MIN),
@@ -141,6 +150,8 @@
             accept_again: false,
             buffer: vec![0; READ_MAX].into_boxed_slice(),
             calling: BTreeSet::new(),
+            idlest_servers: IdlestConnections::default(),
+            idlest_clients: IdlestConnections::default(),
             swept_at: now,
             idle_swept_at: now,
         })
@@ -337,30 +348,65 @@
     /// a worker's only if there is no other. A user whose connection is closed
     /// comes back with the next request, a worker tries elsewhere first.
     fn close_idlest_server(&mut self) {
-        let idle = self
-            .connections
-            .iter()
-            .filter_map(|(id, connection)| match &connection.role {
-                Role::Server(part) => {
-                    let worker_waits = part.worker && connection.waits_since.is_some();
-                    let closable = !part.busy && !worker_waits;
-                    closable.then_some((part.worker, connection.used_at, *id))
+        let mut idlest = std::mem::take(&mut self.idlest_servers);
+        self.close_idlest(&mut idlest, |connection| match &connection.role {
+            Role::Server(part) => {
+                let worker_waits = part.worker && connection.waits_since.is_some();
+                (!part.busy && !worker_waits).then_some(part.worker)
+            }
+            Role::Client(_) => None,
+        });
+        self.idlest_servers = idlest;
+    }
+
+    /// Closes the connection idle the longest of those that `closable` allows, which tells
+    /// whether they are workers'.
+    pub(super) fn close_idlest(
+        &mut self,
+        idlest: &mut IdlestConnections,
+        closable: impl Fn(&Connection) -> Option<bool>,
+    ) {
+        loop {
+            while let Some(idle) = idlest.pop() {
+                let connection = self.connections.get(&idle.id);
+                let unused = |c: &&Connection| c.used_at == idle.used_at && closable(c).is_some();
+                if connection.is_some_and(|c| unused(&c)) {
+                    return self.close(idle.id);
                 }
-                Role::Client(_) => None,
+            }
+            if !idlest.may_look(self.now) {
+                return;
+            }
+            let all = self.connections.iter();
+            let idle = all.filter_map(|(id, connection)| {
+                Some(IdleConnection {
+                    worker: closable(connection)?,
+                    used_at: connection.used_at,
+                    id: *id,
+                })
             });
-        if let Some((.., id)) = idle.min() {
-            self.close(id);
+            idlest.refill(idle.collect(), self.now);
         }
     }
 
+    /// Whether workers have nearly all places for those who connect. One that comes then is
+    /// served on a connection of one request: were it to take the place of the one
+    /// idle the longest, with more machines than places each would lose its own just before
+    /// its next report, and none would keep a connection.
+    pub(super) fn is_crowded(&self) -> bool {
+        let (part, whole) = CROWDED_SHARE;
+        self.workers * whole > self.servers_max * part
+    }
+
     pub(super) fn close(&mut self, id: usize) {
         // Closing a socket takes it out of the poll, too.
         let Some(connection) = self.connections.remove(&id) else {
             return;
         };
         let part = match connection.role {
-            Role::Server(_) => {
+            Role::Server(part) => {
                 self.servers -= 1;
+                self.workers -= usize::from(part.worker);
                 return;
             }
             Role::Client(part) => part,
@@ -466,7 +512,7 @@
         };
         let max = match connection.role {
             Role::Server(_) => BODY_MAX + HEAD_MAX,
-            Role::Client(_) => REPLY_MAX,
+            Role::Client(_) => self.limits.reply_max,
         };
         // Nobody reads on beyond what a request may be.
         while connection.input.len() <= max {
--- a/src/net/http_client.rs
+++ b/src/net/http_client.rs
@@ -7,7 +7,7 @@
 use mio::{Interest, Token};
 
 use super::connection::{ClientPart, Connection, Role};
-use super::event_loop::{EventLoop, REPLY_MAX};
+use super::event_loop::EventLoop;
 use super::http_server::{is_connection_close, parse_length};
 use super::{Event, Outcome, HEAD_MAX};
 
@@ -111,24 +111,33 @@
         if self.clients < self.clients_max {
             return true;
         }
-        let idle = self
-            .connections
-            .iter()
-            .filter_map(|(id, connection)| match &connection.role {
-                Role::Client(part) => {
-                    let closable =
-                        part.call.is_none() && !self.limits.vital.contains(&part.address);
-                    closable.then_some((connection.used_at, *id))
-                }
-                Role::Server(_) => None,
-            });
-        if let Some((_, id)) = idle.min() {
-            self.close(id);
-        }
+        let mut idlest = std::mem::take(&mut self.idlest_clients);
+        let vital = self.limits.vital.clone();
+        self.close_idlest(&mut idlest, |connection| match &connection.role {
+            Role::Client(part) => {
+                (part.call.is_none() && !vital.contains(&part.address)).then_some(true)
+            }
+            Role::Server(_) => None,
+        });
+        self.idlest_clients = idlest;
         self.clients < self.clients_max
     }
 
+    /// The answer is larger than what may be held: whoever asked is told, and nothing more
+    /// of it is read.
+    fn refuse_reply(&mut self, id: usize) {
+        let role = self.connections.get_mut(&id).map(|c| &mut c.role);
+        if let Some(Role::Client(part)) = role {
+            if let Some(tag) = part.call.take() {
+                let outcome = Outcome::TooLarge;
+                self.ready.push(Event::Reply { tag, outcome });
+            }
+        }
+        self.close(id);
+    }
+
     pub(super) fn parse_reply(&mut self, id: usize) {
+        let reply_max = self.limits.reply_max;
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
@@ -148,10 +157,11 @@
             Parsed::Invalid => return self.close(id),
         };
         let end = match head.body_length {
-            Some(length) if length > REPLY_MAX => return self.close(id),
+            Some(length) if length > reply_max => return self.refuse_reply(id),
             Some(length) => head.length + length,
             None if matches!(head.status, 204 | 304) => head.length,
             // Without a length the body ends with the connection.
+            None if connection.input.len() > reply_max => return self.refuse_reply(id),
             None if connection.eof => connection.input.len(),
             None => return,
         };
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -50,7 +50,10 @@
         }
         let body = connection.input[head.length..end].to_vec();
         connection.input.drain(..end);
-        part.worker = head.path == CHECKIN_PATH;
+        let worker = head.path == CHECKIN_PATH;
+        self.workers += usize::from(worker);
+        self.workers -= usize::from(part.worker);
+        part.worker = worker;
         part.busy = true;
         part.close = head.close;
         part.request_began = None;
@@ -80,6 +83,7 @@
 
     /// Answers a request that was passed on.
     pub fn answer(&mut self, id: usize, status: u16, retry_after: Option<u32>, body: &[u8]) {
+        let crowded = self.is_crowded();
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
@@ -90,9 +94,11 @@
             return;
         }
         part.busy = false;
+        let is_newcomer = !connection.was_served;
         connection.was_served = true;
         // Whoever is sent elsewhere hangs up: one look less at who has gone.
         part.close |= connection.eof || status == 421;
+        part.close |= crowded && part.worker && is_newcomer;
         let head = response_head(status, retry_after, body.len(), part.close);
         connection.output.extend_from_slice(head.as_bytes());
         connection.output.extend_from_slice(body);
--- /dev/null
+++ b/src/net/idlest.rs
@@ -0,0 +1,48 @@
+//! Finding the connection that has been idle the longest, without a look at all of them each
+//! time that room is needed.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// One look finds so many at the least, and a share of all: the cost of a look is shared by
+/// those who then need room.
+const FOUND_MIN: usize = 4;
+const FOUND_PARTS: usize = 32;
+/// After a look that found nothing there is none for so long.
+const NOTHING_FOUND_PAUSE: Duration = Duration::from_millis(50);
+
+/// A connection that could be closed, as it was when it was looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct IdleConnection {
+    /// Those of workers are closed only if there is no other.
+    pub worker: bool,
+    pub used_at: Instant,
+    pub id: usize,
+}
+
+/// Connections that could be closed, the idlest first.
+#[derive(Debug, Default)]
+pub(super) struct IdlestConnections {
+    found: VecDeque<IdleConnection>,
+    nothing_until: Option<Instant>,
+}
+
+impl IdlestConnections {
+    /// The next one, which may have been used meanwhile.
+    pub fn pop(&mut self) -> Option<IdleConnection> {
+        self.found.pop_front()
+    }
+
+    /// Whether another look may find any.
+    pub fn may_look(&self, now: Instant) -> bool {
+        self.nothing_until.is_none_or(|until| now >= until)
+    }
+
+    /// Takes in what a look at all connections found.
+    pub fn refill(&mut self, mut idle: Vec<IdleConnection>, now: Instant) {
+        self.nothing_until = idle.is_empty().then(|| now + NOTHING_FOUND_PAUSE);
+        idle.sort_unstable();
+        idle.truncate(FOUND_MIN.max(idle.len() / FOUND_PARTS));
+        self.found = idle.into();
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod http_client;
 mod http_server;
 mod idle;
+mod idlest;
 
 use std::net::SocketAddr;
 
@@ -46,6 +47,8 @@
         /// The body.
         body: Vec<u8>,
     },
+    /// An answer that is larger than what may be held.
+    TooLarge,
     /// No answer: it may have been carried out.
     NoAnswer,
     /// No connection: nothing was sent.
--- a/src/node/cloud_sync.rs
+++ b/src/node/cloud_sync.rs
@@ -2,44 +2,31 @@
 
 use std::sync::Arc;
 
+use tracing::error;
+
 use super::calls::{HttpCall, PendingCall};
+use super::list_reader::PageResult;
 use super::Node;
 use crate::net::Outcome;
 use crate::time_units::to_ms;
-use crate::wire::{self, ListedMachine};
+use crate::wire;
 
 /// Most machines that a page of the list holds.
 const PAGE_MAX: u64 = 500;
+/// The part of the memory that a list may take while it is read, and what a machine of it
+/// takes, its names in the set of those read included.
+const LIST_MEMORY_SHARE: f64 = 1.0 / 16.0;
+const LISTED_MACHINE_BYTES: usize = 512;
 /// How often the machine types are asked for, before and after they were read.
 const TYPES_RETRY_MS: u64 = 2000;
 const TYPES_INTERVAL_MS: u64 = 60_000;
-/// Least time between two reads of the list, for each of its pages, and after a failure.
+/// Least time between two reads of the list, for each of its pages.
 const LIST_INTERVAL_MS: u64 = 2000;
-const LIST_RETRY_MS: u64 = 1000;
 const TIMEOUT_MS: u64 = 4000;
 /// Shares of the cloud's limit that these reads leave to others.
 const TYPES_RESERVE: f64 = 0.2;
 const LIST_RESERVE: f64 = 0.3;
 
-/// Reads the cloud's list page by page.
-#[derive(Debug, Default)]
-pub(super) struct MachineListReader {
-    next_at: u64,
-    /// What has been read so far, if a read is in progress.
-    read: Option<Vec<ListedMachine>>,
-    started_at: u64,
-    /// Pages of the last complete read.
-    pages: u64,
-}
-
-impl MachineListReader {
-    /// Gives up a read in progress and begins anew.
-    pub fn restart(&mut self, now: u64) {
-        self.next_at = now;
-        self.read = None;
-    }
-}
-
 impl Node {
     pub(super) fn machine_types_tick(&mut self) {
         let now = self.now.steady;
@@ -67,60 +54,62 @@
         self.next_machine_types_at = self.now.steady + TYPES_INTERVAL_MS;
     }
 
+    /// Asks for the next page of the list when it is due and the limit of calls allows.
     pub(super) fn machine_list_tick(&mut self) {
         let now = self.now.steady;
-        let list = &self.machine_list;
-        if self.scheduler.is_none() || list.read.is_some() || now < list.next_at {
+        if self.scheduler.is_none() || !self.machine_list.is_due(now) {
             return;
         }
-        let lag_ms = to_ms(self.settings.cluster.cloud.list_lag_s);
-        // A long list costs calls and time, and tells little that reports
-        // don't: the longer, the rarer.
-        let interval_ms = (lag_ms / 2).max(LIST_INTERVAL_MS) * list.pages.max(1);
-        self.machine_list.next_at = now + interval_ms;
-        if self.cloud_requests.try_take(now, 1.0, LIST_RESERVE) {
-            self.machine_list.started_at = now;
-            self.machine_list.read = Some(vec![]);
-            self.read_machine_list(None);
+        if !self.cloud_requests.try_take(now, 1.0, LIST_RESERVE) {
+            return;
         }
-    }
-
-    fn read_machine_list(&mut self, from: Option<&str>) {
+        let lag_ms = to_ms(self.settings.cluster.cloud.list_lag_s);
+        let interval_ms = (lag_ms / 2).max(LIST_INTERVAL_MS);
+        let from = self.machine_list.begin_page(now, interval_ms);
         let from = from.map(|name| format!("from={name}&")).unwrap_or_default();
+        let path = format!("/machines?{from}most={PAGE_MAX}");
         let pending = PendingCall::MachineList {
-            started_at: self.machine_list.started_at,
+            started_at: self.machine_list.started_at().unwrap_or(now),
             epoch: self.epoch(),
         };
-        let path = format!("/machines?{from}most={PAGE_MAX}");
         self.call_cloud(pending, HttpCall::get(path, TIMEOUT_MS));
     }
 
     pub(super) fn on_machine_list_page(&mut self, started_at: u64, epoch: u64, outcome: &Outcome) {
         let now = self.now.steady;
-        if self.scheduler_of(epoch).is_none() {
-            self.machine_list.read = None;
+        if self.machine_list.started_at() != Some(started_at) {
             return;
         }
+        if self.scheduler_of(epoch).is_none() {
+            return self.machine_list.restart(now);
+        }
         let page = match outcome {
             Outcome::Answer { status: 200, body } => wire::decode::<wire::MachineList>(body),
             _ => None,
         };
         let Some(page) = page else {
-            self.machine_list.read = None;
-            self.machine_list.next_at = now + LIST_RETRY_MS;
-            return;
+            return self.machine_list.on_failure(now);
         };
-        let mut machines = self.machine_list.read.take().unwrap_or_default();
-        machines.extend(page.machines);
-        if page.truncated {
-            let last = machines.last().map(|machine| machine.name.clone());
-            self.machine_list.read = Some(machines);
-            self.read_machine_list(last.as_deref());
-            return;
-        }
-        self.machine_list.pages = 1 + machines.len() as u64 / PAGE_MAX;
-        if let Some(scheduler) = self.scheduler_of(epoch) {
-            scheduler.on_machine_list(&machines, started_at, now);
+        let machines_max = self.listed_machines_max();
+        match self.machine_list.on_page(page, machines_max, now) {
+            PageResult::More => self.machine_list_tick(),
+            PageResult::Complete {
+                machines,
+                started_at,
+            } => {
+                if let Some(scheduler) = self.scheduler_of(epoch) {
+                    scheduler.on_machine_list(&machines, started_at, now);
+                }
+            }
+            PageResult::Invalid(problem) => {
+                error!("the cloud's list of machines can't be right: {problem}; the last one stays")
+            }
         }
     }
+
+    /// How many machines a list may have, by the memory that there is.
+    fn listed_machines_max(&self) -> usize {
+        let memory_bytes = self.settings.cluster.limits.ram_mb * 1024.0 * 1024.0;
+        (memory_bytes * LIST_MEMORY_SHARE) as usize / LISTED_MACHINE_BYTES
+    }
 }
--- a/src/node/effects.rs
+++ b/src/node/effects.rs
@@ -102,7 +102,11 @@
 
     fn delete(&mut self, machines: Vec<String>, epoch: u64) {
         if !self.may_call_cloud() {
-            return; // the scheduler asks for it again
+            let now = self.now.steady;
+            if let Some(scheduler) = &mut self.scheduler {
+                scheduler.on_deletion_postponed(&machines, now);
+            }
+            return;
         }
         let body = wire::encode(&wire::MachineNames {
             names: machines.clone(),
--- a/src/node/replication.rs
+++ b/src/node/replication.rs
@@ -1,7 +1,7 @@
 //! Reading the state service into the replica: first in whole, then by a watch, and at
 //! once when somebody waits for it.
 
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 use super::calls::{HttpCall, PendingCall, READ_TIMEOUT_MS, STATE_TIMEOUT_MS};
 use super::user_types::RequestStage;
@@ -36,6 +36,8 @@
     /// Everything is being read.
     loading: bool,
     next_load_at: u64,
+    /// The last key of the pages of jobs read so far.
+    last_key: Option<String>,
     pub watching: bool,
     next_watch_at: u64,
     /// Changes are being read for somebody who waits.
@@ -71,6 +73,7 @@
         }
         replication.next_load_at = now + LOAD_RETRY_MS;
         replication.loading = true;
+        replication.last_key = None;
         self.replica.restart();
         let path = format!("/kv?under={LEADERSHIP_PREFIX}&most={LEADERSHIP_PAGE}");
         let call = HttpCall::get(path, STATE_TIMEOUT_MS);
@@ -102,7 +105,13 @@
         self.replica.apply_page(&page);
         if page.truncated {
             let last = page.pairs.last().map(|pair| pair.key.clone());
-            return self.load_jobs(last.as_deref());
+            if last <= self.replication.last_key {
+                error!("the state service's pages of jobs don't go on behind {last:?}");
+                return self.retry_load();
+            }
+            self.load_jobs(last.as_deref());
+            self.replication.last_key = last;
+            return;
         }
         self.replication.loading = false;
         self.replica.loaded = true;
@@ -123,12 +132,16 @@
             _ => None,
         };
         if page.is_none() {
-            self.replication.loading = false;
-            self.replication.next_load_at = self.now.steady + PAGE_RETRY_MS;
+            self.retry_load();
         }
         page
     }
 
+    fn retry_load(&mut self) {
+        self.replication.loading = false;
+        self.replication.next_load_at = self.now.steady + PAGE_RETRY_MS;
+    }
+
     fn watch_path(&self, hold_ms: u64) -> String {
         let from = self.replica.revision;
         format!("/watch?under={ROOT_PREFIX}&from={from}&holdMs={hold_ms}")
@@ -222,11 +235,17 @@
             },
             Outcome::Answer { status: 410, .. } => {
                 warn!("the watch fell too far behind: reading everything again");
-                self.replica.loaded = false;
-                self.replication.next_load_at = 0;
-                if self.lease.epoch().is_some() {
-                    self.resign("the replica has to be read again", 0);
-                }
+                self.read_all_again();
+            }
+            // The same question would bring the same answer again and again; pages are
+            // bounded.
+            Outcome::TooLarge => {
+                let revision = self.replica.revision;
+                error!(
+                    "the state service's changes since revision {revision} are more than can \
+                     be held: reading everything again, by pages"
+                );
+                self.read_all_again();
             }
             _ => {
                 if for_users {
@@ -238,6 +257,14 @@
         }
     }
 
+    fn read_all_again(&mut self) {
+        self.replica.loaded = false;
+        self.replication.next_load_at = 0;
+        if self.lease.epoch().is_some() {
+            self.resign("the replica has to be read again", 0);
+        }
+    }
+
     fn apply_changes(&mut self, reply: &wire::WatchReply, from: u64, asked: EventTime) {
         let format = self.format();
         let effects = self
--- a/src/scheduler/machine_list.rs
+++ b/src/scheduler/machine_list.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use super::returns::DELETE_REPEAT_MS;
 use super::{to_ms, Scheduler};
 use crate::machine::{CloudStatus, Machine};
 use crate::wire::{self, ListedMachine};
@@ -78,6 +79,7 @@
                 self.remove_machine(name, now);
             } else if let Some(machine) = self.machines.get_mut(name) {
                 machine.delete_sent_at = Some(now);
+                machine.next_delete_at = now + DELETE_REPEAT_MS;
             }
         }
     }
--- a/src/scheduler/returns.rs
+++ b/src/scheduler/returns.rs
@@ -27,7 +27,7 @@
 /// The boot time of a machine whose type is not known.
 const BOOT_DEFAULT_S: f64 = 60.0;
 /// A deletion that was not confirmed is sent again after this time.
-const DELETE_REPEAT_MS: u64 = 4000;
+pub(super) const DELETE_REPEAT_MS: u64 = 4000;
 /// Most machines of one deletion.
 const DELETE_MAX: usize = 100;
 
@@ -219,10 +219,10 @@
             machine.return_reason = Some(reason);
             self.dirty = true;
         }
-        let sent_lately = |at: u64| now <= at + DELETE_REPEAT_MS;
-        if machine.delete_sent_at.is_some_and(sent_lately) {
+        if now < machine.next_delete_at {
             return false;
         }
+        machine.next_delete_at = now + DELETE_REPEAT_MS;
         if machine.delete_sent_at.is_none() {
             info!("returning {name}: {reason}");
             self.returned_unreachable |=
@@ -231,4 +231,16 @@
         machine.delete_sent_at = Some(now);
         true
     }
+
+    /// The limit of calls to the cloud has no room for a deletion yet. It is asked for again
+    /// as soon as a call may be made, not only when an answer would be overdue: after the
+    /// loss of a third of the fleet there are many calls.
+    pub fn on_deletion_postponed(&mut self, machines: &[String], now: u64) {
+        let retry_at = now + to_ms(1.0 / self.cluster.cloud.rps);
+        for name in machines {
+            if let Some(machine) = self.machines.get_mut(name) {
+                machine.next_delete_at = retry_at;
+            }
+        }
+    }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -17,6 +17,11 @@
 /// The stack of the planning thread, which needs little.
 const PLANNER_STACK_BYTES: usize = 512 * 1024;
 
+/// The part of the memory that one answer to a call may take, and what it may take in any
+/// case: a page of the state service has up to 512 KiB.
+const REPLY_MEMORY_SHARE: f64 = 1.0 / 16.0;
+const REPLY_MIN: usize = 1024 * 1024;
+
 struct Clock {
     started: Instant,
 }
@@ -114,9 +119,16 @@
         fd_limit: settings.cluster.limits.fd_limit,
         vital,
         worker_idle: Duration::from_secs_f64(settings.cluster.workers.lease_s),
+        reply_max: reply_max(settings.cluster.limits.ram_mb),
     }
 }
 
+/// The largest answer that is held: decoded, it takes a few times its size.
+fn reply_max(ram_mb: f64) -> usize {
+    let memory_bytes = ram_mb * 1024.0 * 1024.0;
+    ((memory_bytes * REPLY_MEMORY_SHARE) as usize).max(REPLY_MIN)
+}
+
 /// The planning thread.
 fn plan_forever(shared: &Shared, waker: &Waker) {
     loop {
--- a/src/write_queue.rs
+++ b/src/write_queue.rs
@@ -319,7 +319,7 @@
                 CommitResult::Rejected
             }
             Outcome::Answer { .. } | Outcome::NotSent => CommitResult::Rejected,
-            Outcome::NoAnswer => CommitResult::Unknown,
+            Outcome::NoAnswer | Outcome::TooLarge => CommitResult::Unknown,
         };
         match &result {
             CommitResult::Conflict { .. } => self.stats.conflicts += 1,
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -390,6 +390,7 @@
         fd_limit: 32,
         vital: HashSet::from([vital.local_addr().expect("an address")]),
         worker_idle: Duration::from_secs(3600),
+        reply_max: 1 << 20,
     };
     let mut net = EventLoop::new(front, any, bounds).expect("it listens");
     let mut serve = |socks: &mut [TcpStream], path: &str| {
@@ -452,6 +453,7 @@
         fd_limit: 400,
         vital: HashSet::new(),
         worker_idle: Duration::from_secs(3600),
+        reply_max: 1 << 20,
     };
     let mut net = EventLoop::new(front, any, bounds).expect("it listens");
     let mut socks: Vec<TcpStream> = (0..60)
