Grants told by how many machines they suffice for; a report that tells nothing new costs no copies

Need: settings that grant too little for a fleet were told by nothing but late answers, and a successor of a team with a limit counted all jobs and machines for each start that it found on record.

Whether a team keeps to its limit is remembered until what it uses changes. A report is compared with the last one before anything is copied.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod cloud;
 pub mod dependencies;
+pub mod fleet_capacity;
 pub mod job;
 pub mod leader_lease;
 pub mod machine;
--- a/src/machine.rs
+++ b/src/machine.rs
@@ -8,7 +8,7 @@
 use crate::job::parse_task_name;
 use crate::plan::{MachineView, Reservation, Resources};
 use crate::time_units::to_ms;
-use crate::wire::{self, MachineType, Report};
+use crate::wire::{self, MachineType, Report, TaskReport};
 
 /// The state of a task on its machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -304,15 +304,29 @@
         }
         self.set_kind(&report.machine_type, &report.zone, report.spot);
         self.reclaim_at = report.reclaim_in_s.map(|in_s| now + to_ms(in_s));
-        let reported = reported_tasks(report);
-        if reported != self.reported {
-            self.reported = reported;
+        if !self.has_reported_same(report) {
+            self.reported = reported_tasks(report).collect();
             self.no_orphans = false;
             self.view = None;
         }
         true
     }
 
+    /// Whether a report has the same tasks as the last one: most do, and nothing is copied
+    /// to see that.
+    fn has_reported_same(&self, report: &Report) -> bool {
+        let mut last = self.reported.iter();
+        let same = known_tasks(report).all(|(job, number, task)| {
+            last.next().is_some_and(|last| {
+                last.task == number
+                    && last.attempt == task.attempt
+                    && last.job == job
+                    && last.phase == phase_of(task)
+            })
+        });
+        same && last.next().is_none()
+    }
+
     fn set_kind(&mut self, machine_type: &str, zone: &str, spot: bool) {
         if *self.machine_type != *machine_type || *self.zone != *zone || self.spot != spot {
             self.machine_type = machine_type.into();
@@ -452,18 +466,23 @@
     }
 }
 
-fn reported_tasks(report: &Report) -> Vec<ReportedTask> {
-    let mut tasks = Vec::with_capacity(report.tasks.len());
-    for task in &report.tasks {
-        let Some((job, number)) = parse_task_name(&task.task) else {
-            continue;
-        };
-        tasks.push(ReportedTask {
-            job: job.to_string(),
-            task: number,
-            attempt: task.attempt,
-            phase: wire::task_phase(&task.status, task.cause.as_deref(), task.kept),
-        });
-    }
-    tasks
+fn reported_tasks(report: &Report) -> impl Iterator<Item = ReportedTask> + '_ {
+    known_tasks(report).map(|(job, number, task)| ReportedTask {
+        job: job.to_string(),
+        task: number,
+        attempt: task.attempt,
+        phase: phase_of(task),
+    })
+}
+
+/// The tasks of a report whose names can be read: job, number, task.
+fn known_tasks(report: &Report) -> impl Iterator<Item = (&str, u32, &TaskReport)> {
+    report.tasks.iter().filter_map(|task| {
+        let (job, number) = parse_task_name(&task.task)?;
+        Some((job, number, task))
+    })
+}
+
+fn phase_of(task: &TaskReport) -> TaskPhase {
+    wire::task_phase(&task.status, task.cause.as_deref(), task.kept)
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use gaugesill::fleet_capacity::grant_capacities;
 use gaugesill::settings::{OperatorSettings, Settings, SettingsError};
 use thiserror::Error;
 use tracing_subscriber::filter::LevelFilter;
@@ -58,6 +59,9 @@
     };
     if args.check {
         println!("settings are fine");
+        for capacity in grant_capacities(&settings.cluster) {
+            println!("{capacity}");
+        }
         return Ok(());
     }
     gaugesill::serve::serve(settings, operator)?;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -144,6 +144,8 @@
     next_tick_at: u64,
     stats_timer: StatsTimer,
     stats: TrafficStats,
+    /// Grants that were warned of.
+    short_grants: usize,
 }
 
 impl Node {
@@ -193,6 +195,7 @@
             next_tick_at: 0,
             stats_timer: StatsTimer::default(),
             stats: TrafficStats::default(),
+            short_grants: 0,
             settings,
             operator,
         }
--- a/src/node/stats.rs
+++ b/src/node/stats.rs
@@ -1,9 +1,10 @@
 //! What came in and went out, for the log.
 
-use tracing::info;
+use tracing::{info, warn};
 
 use super::calls::PendingCall;
 use super::Node;
+use crate::fleet_capacity::grant_capacities;
 
 /// How often it is logged.
 const INTERVAL_MS: u64 = 10_000;
@@ -103,5 +104,20 @@
         if let Some(scheduler) = &self.scheduler {
             info!("leading: {}", scheduler.summary());
         }
+        self.warn_of_short_grants();
+    }
+
+    /// Warns once of each grant that the fleet comes near the end of.
+    fn warn_of_short_grants(&mut self) {
+        let Some(scheduler) = &self.scheduler else {
+            return;
+        };
+        let machines = scheduler.machines.len();
+        let capacities = grant_capacities(&self.settings.cluster);
+        let near = capacities.iter().filter(|c| c.is_near(machines)).count();
+        for capacity in capacities.iter().take(near).skip(self.short_grants) {
+            warn!("{machines} machines: {capacity}");
+        }
+        self.short_grants = self.short_grants.max(near);
     }
 }
--- a/src/scheduler/machine_list.rs
+++ b/src/scheduler/machine_list.rs
@@ -100,6 +100,7 @@
             self.release_reservations(&held.job);
         }
         self.machines.remove(name);
+        self.team_limits.on_change();
         self.dirty = true;
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod returns;
 mod snapshots;
 mod starts;
+mod team_limits;
 mod unwritten;
 mod upkeep;
 
@@ -42,6 +43,7 @@
 use arrivals::ArrivalRate;
 use dependency_links::DependencyLinks;
 use rentals::Rentals;
+use team_limits::TeamLimits;
 use unwritten::UnwrittenJobs;
 
 /// Commands that one answer or request may carry.
@@ -80,6 +82,7 @@
     pub jobs: BTreeMap<String, Job>,
     dependency_links: DependencyLinks,
     unwritten: UnwrittenJobs,
+    team_limits: TeamLimits,
     /// The form in which records are written.
     format: u64,
     /// Rented machines, and those that a record or a report names.
@@ -140,6 +143,7 @@
             jobs: BTreeMap::new(),
             dependency_links: DependencyLinks::default(),
             unwritten: UnwrittenJobs::default(),
+            team_limits: TeamLimits::default(),
             format: 0,
             machines: BTreeMap::new(),
             shared_names: shared_names(&machine_types),
--- a/src/scheduler/placements.rs
+++ b/src/scheduler/placements.rs
@@ -33,6 +33,7 @@
         machine.idle_since = None;
         machine.view = None;
         job.placements.push(placement);
+        self.team_limits.on_change();
     }
 
     /// A task's place is proven empty.
@@ -46,6 +47,7 @@
         let placement = job.placements.remove(index);
         job.note_change(now);
         self.update_write_slot(id);
+        self.team_limits.on_change();
         if let Some(machine) = self.machines.get_mut(&*placement.machine) {
             machine.remove_recorded(id, Some(task));
         }
--- a/src/scheduler/records.rs
+++ b/src/scheduler/records.rs
@@ -85,6 +85,7 @@
             self.record_arrival(&job, now);
         }
         self.jobs.insert(id.to_string(), job);
+        self.team_limits.on_change();
         self.update_write_slot(id);
         self.link_dependencies(id);
         for run in &record.runs {
@@ -124,6 +125,7 @@
     /// A job is not live any more.
     pub fn remove_job(&mut self, id: &str) {
         self.release_reservations(id);
+        self.team_limits.on_change();
         if let Some(job) = self.jobs.remove(id) {
             self.dependency_links.remove(&job);
             self.forget_write_slot(&job.id, job.write_slot);
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -96,11 +96,15 @@
                 let kind = (&report.machine_type, &report.zone, report.spot);
                 Machine::new(&report.machine, kind.0, kind.1, kind.2, now)
             });
+        let had_orphans = machine.orphans().next().is_some();
         let was_heard = machine.last_report_at.is_some();
         let (old_epoch, old_session) = (machine.epoch, machine.session);
         if !machine.apply_report(report, now) {
             return None;
         }
+        if had_orphans || machine.orphans().next().is_some() {
+            self.team_limits.on_change();
+        }
         self.last_report_at = now;
         let verifies = origin == ReportOrigin::DirectRequest && machine.unverified;
         let woke = !was_heard || old_epoch != machine.epoch || verifies;
@@ -261,16 +265,13 @@
     /// task was stopped to make room, the room was given to another and that recorded,
     /// and the leader ended before it removed the first: then the machine's room or
     /// the team's limit is given out twice.
-    fn has_room_for(&self, recorded: &RecordedTask, machine: &str) -> bool {
+    fn has_room_for(&mut self, recorded: &RecordedTask, machine: &str) -> bool {
         let machine = self.machines.get(machine);
         let (Some(machine), Some(job)) = (machine, self.jobs.get(&*recorded.job)) else {
             return false;
         };
-        let team = &job.spec.team;
-        let limits = self.cluster.teams.iter().find(|t| t.name == *team);
-        let limited = limits.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
-        self.free_resources(machine).fits(Resources::default())
-            && (!limited || self.team_views()[team].within_limit())
+        let spec = job.spec.clone();
+        self.free_resources(machine).fits(Resources::default()) && self.is_within_limit(&spec.team)
     }
 
     /// A task has exited, or was refused.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -8,7 +8,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use mio::Waker;
+use tracing::info;
 
+use crate::fleet_capacity::grant_capacities;
 use crate::net::{Action, ConnectionLimits, Event, EventLoop};
 use crate::node::{Node, Timestamp};
 use crate::plan::{self, Snapshot};
@@ -84,6 +86,9 @@
 
 /// Runs until killed, or until the event loop fails.
 pub fn serve(settings: Settings, operator: OperatorSettings) -> io::Result<()> {
+    if let Some(least) = grant_capacities(&settings.cluster).first() {
+        info!("{least}");
+    }
     let limits = connection_limits(&settings);
     let mut event_loop = EventLoop::new(settings.front, settings.mesh_addr, limits)?;
     let waker = event_loop.waker()?;
