--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -88,8 +88,8 @@
 const USER_TARGET_MS: u64 = 500;
 /// Sockets for each user's request in progress.
 const SOCKETS_PER_USER: usize = 4;
-/// Share of the cloud's limit that is used.
-const CLOUD_SHARE: f64 = 0.8;
+/// Share of the cloud's limit that is used, all calls counted.
+const CLOUD_SHARE: f64 = 0.875;
 
 /// Shares of the requests and changes that the state service takes in a second: the
 /// leader's and each other controller's, whose bursts rarely meet. Of the requests, a
--- a/tests/common/cloud.rs
+++ b/tests/common/cloud.rs
@@ -4,6 +4,9 @@
 use gaugesill::wire::{self};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::ops::Bound;
+
+use super::state_service::query;
 
 pub struct Rented {
     pub up_at: u64,
@@ -19,6 +22,8 @@
     pub next: u64,
     pub boot_ms: u64,
     pub most: usize,
+    /// Pages of the list that were asked for.
+    pub pages_read: u64,
 }
 
 impl Cloud {
@@ -32,9 +37,17 @@
                 (200, wire::encode(&f.expect("value")))
             }
             ("GET", "/machines") => {
+                let from = query(path, "from").unwrap_or("").to_string();
+                let most: usize = query(path, "most")
+                    .and_then(|m| m.parse().ok())
+                    .unwrap_or(500);
+                self.pages_read += 1;
+                let behind = (Bound::Excluded(from), Bound::Unbounded);
+                let truncated = self.machines.range(behind.clone()).count() > most;
                 let machines: Vec<Value> = self
                     .machines
-                    .iter()
+                    .range(behind)
+                    .take(most)
                     .map(|(n, m)| {
                         cbor!({"nameId" => n.as_str(), "endpoint" => addr_of(n).to_string(),
                             "flavor" => m.machine_type.as_str(), "hall" => m.zone.as_str(),
@@ -43,7 +56,7 @@
                         .expect("value")
                     })
                     .collect();
-                let v = cbor!({"hosts" => machines, "truncated" => false}).expect("value");
+                let v = cbor!({"hosts" => machines, "truncated" => truncated}).expect("value");
                 (200, wire::encode(&v))
             }
             ("POST", "/machines") => {
--- a/tests/common/settings.rs
+++ b/tests/common/settings.rs
@@ -3,12 +3,50 @@
 use ciborium::{cbor, Value};
 use gaugesill::settings::Settings;
 
+/// What the platform grants, where it differs between tests.
+#[derive(Clone, Debug)]
+pub struct Grants {
+    pub report_ms: u64,
+    pub state_rps: f64,
+    pub write_rps: f64,
+    pub cloud_rps: f64,
+    pub cpu_share: f64,
+    pub fd_limit: usize,
+}
+
+impl Default for Grants {
+    fn default() -> Grants {
+        Grants {
+            report_ms: 3000,
+            state_rps: 200.0,
+            write_rps: 50.0,
+            cloud_rps: 10.0,
+            cpu_share: 0.1,
+            fd_limit: 1000,
+        }
+    }
+}
+
+impl Grants {
+    /// Those of a deployment with thousands of machines.
+    pub fn large() -> Grants {
+        Grants {
+            report_ms: 8000,
+            state_rps: 100.0,
+            write_rps: 25.0,
+            cloud_rps: 5.0,
+            cpu_share: 0.08,
+            fd_limit: 4000,
+        }
+    }
+}
+
 pub fn settings(member: usize, teams: &str) -> Settings {
-    settings_with(member, teams, "")
+    settings_with(member, teams, "", &Grants::default())
 }
 
 /// `next`: limits to come, as the settings have them behind the present ones.
-pub fn settings_with(member: usize, teams: &str, next: &str) -> Settings {
+pub fn settings_with(member: usize, teams: &str, next: &str, grants: &Grants) -> Settings {
     let known: Vec<String> = (0..3)
         .filter(|i| *i != member)
         .map(|i| {
@@ -18,14 +56,23 @@
             )
         })
         .collect();
+    let Grants {
+        state_rps,
+        write_rps,
+        cloud_rps,
+        cpu_share,
+        fd_limit,
+        ..
+    } = grants;
+    let report_s = grants.report_ms as f64 / 1000.0;
     let text = format!(
         r#"{{"member":"c{member}","zone":"a","front":"10.0.0.{n}:80","mesh_addr":"10.0.0.{n}:81",
         "known":[{}],"endpoints":{{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"}},"news_field":1,
         "cluster":{{"zones":["a","b"],"teams":[{teams}],
-        "workers":{{"report_s":3.0,"lease_s":36.0,"gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0}},
-        "state":{{"rps":200.0,"write_rps":50.0,"value_kb":16.0,"txn_ops":20{next}}},
-        "cloud":{{"rps":10.0,"list_lag_s":1.0}},
-        "limits":{{"cpu_share":0.1,"ram_mb":200.0,"fd_limit":1000}},"clock_off_ms":100.0}}}}"#,
+        "workers":{{"report_s":{report_s},"lease_s":36.0,"gang_wait_s":35.0,"gang_peer_s":4.0,"cancel_s":60.0}},
+        "state":{{"rps":{state_rps},"write_rps":{write_rps},"value_kb":16.0,"txn_ops":20{next}}},
+        "cloud":{{"rps":{cloud_rps},"list_lag_s":1.0}},
+        "limits":{{"cpu_share":{cpu_share},"ram_mb":200.0,"fd_limit":{fd_limit}}},"clock_off_ms":100.0}}}}"#,
         known.join(","),
         n = member + 1
     );
--- a/tests/common/sim.rs
+++ b/tests/common/sim.rs
@@ -5,10 +5,11 @@
 use gaugesill::plan;
 use gaugesill::settings::OperatorSettings;
 use gaugesill::wire::{self};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use super::cloud::*;
 use super::messages::*;
+use super::meter::*;
 use super::settings::*;
 use super::state_service::*;
 use super::worker::*;
@@ -97,6 +98,13 @@
     pub team_cores: f64,
     pub(super) team: String,
     pub(super) told: HashMap<String, String>,
+    pub grants: Grants,
+    /// How often workers are looked at, in milliseconds.
+    pub(super) worker_tick_ms: u64,
+    /// On which machines each task was ever started, and tasks of each job.
+    pub(super) places: HashMap<String, BTreeSet<String>>,
+    /// What the controllers' work costs, if that is measured.
+    pub meter: Option<Meter>,
 }
 
 impl Sim {
@@ -163,11 +171,27 @@
             team_cores,
             team: team.to_string(),
             told: HashMap::new(),
+            grants: Grants::default(),
+            worker_tick_ms: 10,
+            places: HashMap::new(),
+            meter: None,
         };
         s.run(1);
         s
     }
 
+    /// With room for so many machines of a large deployment.
+    pub fn large(machines: usize) -> Sim {
+        let mut s = Sim::new();
+        s.grants = Grants::large();
+        s.worker_tick_ms = 100;
+        s.cloud.most = machines;
+        for node in 0..3 {
+            s.crash(node, 1);
+        }
+        s
+    }
+
     pub(super) fn clock(&self, node: usize) -> Timestamp {
         let fast = self.fast.get(&node).copied().unwrap_or(0);
         Timestamp {
@@ -232,7 +256,8 @@
         }
         let now = self.clock(node);
         if let Some(n) = &mut self.nodes[node] {
-            n.event(now, ev);
+            let sort = EventSort::of(&ev);
+            metered(&mut self.meter, node, sort, || n.event(now, ev));
         }
         self.drain(node);
     }
@@ -244,9 +269,14 @@
                 return;
             };
             let mut actions = n.take_actions();
-            if let Some(s) = n.plan_due(now) {
+            let meter = &mut self.meter;
+            let snapshot = metered(meter, node, EventSort::SNAPSHOT, || n.plan_due(now));
+            if let Some(s) = snapshot {
                 let epoch = n.epoch();
-                n.on_planned(now, epoch, plan::cycle(s));
+                let decision = metered(meter, node, EventSort::PLAN, || plan::cycle(s));
+                metered(meter, node, EventSort::APPLY, || {
+                    n.on_planned(now, epoch, decision);
+                });
                 actions.extend(n.take_actions());
             }
             if actions.is_empty() {
@@ -375,7 +405,7 @@
             if self.back_at[i].is_some_and(|t| self.now >= t) {
                 self.back_at[i] = None;
                 let seed = 10 * self.lives[i] + i as u64;
-                let set = settings_with(i, &self.team, &self.next);
+                let set = settings_with(i, &self.team, &self.next, &self.grants);
                 self.nodes[i] = Some(Node::new(set, OperatorSettings::default(), seed));
             }
         }
@@ -420,10 +450,12 @@
                     continue;
                 }
                 if let Some(n) = &mut self.nodes[i] {
-                    n.tick(now);
+                    metered(&mut self.meter, i, EventSort::TICK, || n.tick(now));
                 }
                 self.drain(i);
             }
+        }
+        if self.now % self.worker_tick_ms == 0 {
             self.tick_workers();
         }
     }
--- a/tests/common/state_service.rs
+++ b/tests/common/state_service.rs
@@ -86,10 +86,8 @@
     pub fn changes(&self, under: &str, from: u64) -> WatchReply {
         WatchReply {
             revision: self.revision,
-            changes: self
-                .log
+            changes: self.log[self.log.partition_point(|c| c.version <= from)..]
                 .iter()
-                .filter(|c| c.version > from)
                 .filter(|c| {
                     c.set
                         .as_ref()
--- a/tests/common/worker_events.rs
+++ b/tests/common/worker_events.rs
@@ -9,7 +9,6 @@
 use super::worker::*;
 
 /// Times of the settings that the tests use, see `settings_with`.
-const REPORT_MS: u64 = 3000;
 const LEASE_MS: u64 = 36_000;
 const GANG_WAIT_MS: u64 = 35_000;
 const GANG_PEER_MS: u64 = 4000;
@@ -122,12 +121,16 @@
             return;
         }
         self.note(format!("{task} try {attempt} starts on {machine}"));
-        for (h, w) in &self.workers {
-            if w.tasks.iter().any(|t| t.name == task && t.state != "ended") {
+        let places = self.places.entry(task.to_string()).or_default();
+        for h in places.iter() {
+            let is_there =
+                |w: &Worker| w.tasks.iter().any(|t| t.name == task && t.state != "ended");
+            if self.workers.get(h).is_some_and(is_there) {
                 self.broken
                     .push(format!("ran_twice: {task} on {h} and {machine} at {now}"));
             }
         }
+        places.insert(machine.to_string());
         let (id, _) = task.rsplit_once('/').expect("a task's name");
         let Some(j) = self.jobs.get(id) else {
             self.broken.push(format!("invented: {task}"));
@@ -145,7 +148,8 @@
             self.broken.push(format!("too_early: {task} before {n}"));
         }
         let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
-        for (h, w) in &self.workers {
+        let workers = self.workers.iter().filter(|_| j.single_zone || j.spread);
+        for (h, w) in workers {
             let of_job =
                 |t: &&OnWorker| t.state != "ended" && t.name.starts_with(&format!("{id}/"));
             let n = w.tasks.iter().filter(of_job).count() + usize::from(h == machine);
@@ -180,11 +184,12 @@
                 .map(|j| j.cpus)
                 .sum()
         };
-        let all: f64 = self.workers.values().map(cpus).sum();
+        let limited = self.team_cores > 0.0;
+        let all: f64 = self.workers.values().filter(|_| limited).map(cpus).sum();
         if cpus(&self.workers[machine]) > 8.0 {
             self.broken.push(format!("too much on {machine}"));
         }
-        if self.team_cores > 0.0 && all > self.team_cores {
+        if limited && all > self.team_cores {
             self.broken.push(format!("quota: {all} cores"));
         }
     }
@@ -262,7 +267,7 @@
             return;
         };
         for task in worker.tasks.iter_mut().filter(|t| t.state != "ended") {
-            task.until += 10;
+            task.until += self.worker_tick_ms;
             let (id, _) = task.name.rsplit_once('/').expect("name");
             let cancelled_at = self.jobs.get(id).and_then(|job| job.cancelled_at);
             if cancelled_at.is_some_and(|at| now > at + CANCEL_MS) {
@@ -348,12 +353,13 @@
                 worker.next = now + 1000;
             }
         }
-        let changed = worker.changed && now >= worker.next.saturating_sub(2500);
+        let early_ms = self.grants.report_ms - 500;
+        let changed = worker.changed && now >= worker.next.saturating_sub(early_ms);
         if worker.waiting.is_some() || !(changed || now >= worker.next) {
             return None;
         }
         worker.changed = false;
-        worker.next = now + REPORT_MS;
+        worker.next = now + self.grants.report_ms;
         let report = worker.report(&self.cloud.machines[name]);
         worker.waiting = Some((report.serial, now));
         Some(Msg::Checkin {
