plan: shelves by CPUs and memory, too; counts of work in tests

Found by a count in a test: with 6,000 machines whose memory is free and whose CPUs are not, each gang looked at all of them in vain (641 looks a machine and task, 56 at 500 machines), and at all machines that cost the same with victims. Shelves are divided by levels of CPUs and memory, and of equals the first is taken: the count no longer grows.

--- a/src/plan/cycle.rs
+++ b/src/plan/cycle.rs
@@ -33,6 +33,7 @@
         }
     }
     cycle.place_skipped();
+    cycle.decision.machines_examined = cycle.state.machines_examined.get();
     cycle.decision
 }
 
--- a/src/plan/cycle_state.rs
+++ b/src/plan/cycle_state.rs
@@ -1,5 +1,6 @@
 //! The snapshot with what the cycle has decided so far.
 
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
@@ -42,6 +43,8 @@
     smallest_demand: Resources,
     /// Who has or fetches which image.
     images: ImageMap,
+    /// How often a machine was looked at for a job.
+    pub machines_examined: Cell<u64>,
     /// Room as it is.
     room: RoomLedger,
     /// Room less what is promised, once somebody asked what is missing.
@@ -76,6 +79,7 @@
             kind_of,
             smallest_demand,
             images: ImageMap::default(),
+            machines_examined: Cell::new(0),
             room: RoomLedger::default(),
             unpromised_room: None,
         };
@@ -83,6 +87,11 @@
         state
     }
 
+    /// A machine is looked at for a job.
+    pub fn note_examined(&self) {
+        self.machines_examined.set(self.machines_examined.get() + 1);
+    }
+
     /// Whether a team's unfinished work fits into its guarantee.
     pub fn within_guarantee(&self, team: &str) -> bool {
         self.teams.get(team).is_some_and(TeamView::within_guarantee)
--- a/src/plan/decision.rs
+++ b/src/plan/decision.rs
@@ -53,6 +53,8 @@
     pub skipped_machines: Vec<Arc<str>>,
     /// Tasks for which machines would have to be rented, in queue order.
     pub unmet: Vec<UnmetDemand>,
+    /// How often the cycle looked at a machine for a job: what it cost.
+    pub machines_examined: u64,
 }
 
 /// Tasks of a job that found no room, and where the others are or would be.
--- a/src/plan/room_index.rs
+++ b/src/plan/room_index.rs
@@ -6,11 +6,41 @@
 
 use super::resources::{Resources, EPSILON};
 
-/// Machines of one kind with as many whole GPUs free.
+/// CPUs and memory are divided into so many levels: a machine that lacks one and has much of
+/// the other is not looked at in vain.
+const LEVELS: f64 = 8.0;
+
+/// Machines of one kind with about as much room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Shelf {
     kind: usize,
+    /// Whole GPUs.
     gpus: u32,
+    cpu_level: u32,
+    memory_level: u32,
+}
+
+impl Shelf {
+    fn new(kind: usize, total: Resources, free: Resources) -> Shelf {
+        let level = |free: f64, total: f64| {
+            let share = if total > EPSILON { free / total } else { 0.0 };
+            (share * LEVELS).max(0.0) as u32
+        };
+        Shelf {
+            kind,
+            gpus: free.gpus.max(0.0) as u32,
+            cpu_level: level(free.cpus, total.cpus),
+            memory_level: level(free.memory_gb, total.memory_gb),
+        }
+    }
+
+    /// Whether its machines may have room for what would just fit into those of another.
+    fn may_hold(&self, least: &Shelf) -> bool {
+        self.kind == least.kind
+            && self.gpus >= least.gpus
+            && self.cpu_level >= least.cpu_level
+            && self.memory_level >= least.memory_level
+    }
 }
 
 /// A machine's place on its shelf: the least room first. The share is not negative, so its
@@ -31,10 +61,7 @@
     /// Notes the free room of a machine; `None` takes it out.
     pub fn set(&mut self, machine: usize, kind: usize, total: Resources, free: Option<Resources>) {
         let place = free.map(|free| {
-            let shelf = Shelf {
-                kind,
-                gpus: (free.gpus + EPSILON).max(0.0) as u32,
-            };
+            let shelf = Shelf::new(kind, total, free);
             (shelf, (share_bits(free, total), machine))
         });
         let known = match place {
@@ -70,18 +97,25 @@
         kind_allowed: &[bool],
         totals: &[Resources],
     ) -> Vec<ShelfIter<'_>> {
-        let gpus_min = demand.gpus as u32;
-        let shelves = self.shelves.iter();
-        let possible =
-            shelves.filter(|(shelf, _)| shelf.gpus >= gpus_min && kind_allowed[shelf.kind]);
-        let iter = possible.map(|(shelf, entries)| {
-            let mut least = demand;
-            least.cpus -= EPSILON;
-            least.gpus -= EPSILON;
-            least.memory_gb -= EPSILON;
-            ShelfIter(entries.range((share_bits(least, totals[shelf.kind]), 0)..))
-        });
-        iter.collect()
+        let mut least = demand;
+        least.cpus -= EPSILON;
+        least.gpus -= EPSILON;
+        least.memory_gb -= EPSILON;
+        let mut found = Vec::new();
+        for (kind, total) in totals
+            .iter()
+            .enumerate()
+            .filter(|(kind, _)| kind_allowed[*kind])
+        {
+            let least_shelf = Shelf::new(kind, *total, least);
+            let least_share = share_bits(least, *total);
+            let same_kind = self.shelves.range(least_shelf..);
+            let same_kind = same_kind.take_while(|(shelf, _)| shelf.kind == kind);
+            let possible = same_kind.filter(|(shelf, _)| shelf.may_hold(&least_shelf));
+            let ranges = possible.map(|(_, entries)| entries.range((least_share, 0)..));
+            found.extend(ranges.map(ShelfIter));
+        }
+        found
     }
 }
 
--- a/src/plan/search.rs
+++ b/src/plan/search.rs
@@ -393,6 +393,7 @@
             has_image,
         } = &mut free.sources[source];
         for machine in machines {
+            self.state.note_examined();
             let room = self.free_for(machine);
             let name = &self.state.machines[machine].name;
             let avoided = self.job.avoided_machines.contains(name);
@@ -527,17 +528,24 @@
             heap,
         } = machines;
         loop {
-            let best_s = heap.peek().map_or(f64::INFINITY, |best| best.cost_s);
-            let cached = with_image
-                .as_mut()
-                .and_then(|offers| offers.next_if(|(cost_s, _)| *cost_s <= best_s));
-            if let Some((machine, cost_s)) = cached.map(|(cost_s, machine)| (machine, cost_s)) {
+            let best = heap.peek();
+            // Of machines at the same cost the first is taken: the rest of an order can wait.
+            let may_be_first = |cost_s: f64, machine: usize| {
+                best.is_none_or(|best| {
+                    let by_cost = cost_s.total_cmp(&best.cost_s);
+                    by_cost.then(machine.cmp(&best.machine)).is_lt()
+                })
+            };
+            let cached = with_image.as_mut().and_then(|offers| {
+                offers.next_if(|(cost_s, machine)| may_be_first(*cost_s, *machine))
+            });
+            if let Some((cost_s, machine)) = cached {
                 heap.extend(self.offered(machine, cost_s, true));
                 continue;
             }
-            let uncached = all
-                .as_mut()
-                .and_then(|offers| offers.next_if(|(cost_s, _)| *cost_s + *fetch_min_s <= best_s));
+            let uncached = all.as_mut().and_then(|offers| {
+                offers.next_if(|(cost_s, machine)| may_be_first(cost_s + *fetch_min_s, *machine))
+            });
             let Some((cost_s, machine)) = uncached else {
                 return;
             };
@@ -549,6 +557,7 @@
 
     /// The offer of a machine that is as it was when the search began.
     fn offered(&self, machine: usize, cost_s: f64, has_image: bool) -> Option<Candidate> {
+        self.state.note_examined();
         let looked_at = self.free.contains_key(&machine) || self.more_room.contains(&machine);
         if looked_at || !self.is_allowed(machine) {
             return None;
--- a/src/plan/victims.rs
+++ b/src/plan/victims.rs
@@ -71,6 +71,7 @@
 
     /// How many tasks of a job a machine would hold with all gone that may be stopped.
     pub fn most_tasks(&self, machine: usize, preemptor: &Preemptor) -> u32 {
+        self.note_examined();
         let mut room = self.free_for(machine, &preemptor.job, preemptor.spec.priority);
         if !self.has_no_victims(machine, preemptor) {
             for (index, task) in self.machines[machine].tasks.iter().enumerate() {
@@ -91,6 +92,7 @@
         free: Resources,
         taken: &HashSet<TaskIndex>,
     ) -> Option<VictimChoice> {
+        self.note_examined();
         let demand = Resources::of(&preemptor.spec);
         if !free.fits(demand) && self.has_no_victims(machine, preemptor) {
             return None;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -67,6 +67,15 @@
     pub began_wall_ms: u64,
 }
 
+/// What was looked at since the term began, apart from the regular reviews of everything.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorkCounts {
+    /// Jobs whose records were considered for writing.
+    pub records_considered: u64,
+    /// Machines that were considered for direct starts.
+    pub starts_considered: u64,
+}
+
 /// The leader's scheduling state.
 ///
 /// Jobs know their placements, machines the tasks that are on record for them; both change
@@ -122,6 +131,7 @@
     lagging_at: Option<u64>,
     /// When it was last a noticeable time behind.
     overloaded_at: Option<u64>,
+    work: WorkCounts,
 }
 
 impl Scheduler {
@@ -166,6 +176,7 @@
             last_report_at: 0,
             lagging_at: None,
             overloaded_at: None,
+            work: WorkCounts::default(),
         };
         // Since when a job has been ready is not on record.
         let ready_at = scheduler.term.began_wall_ms;
@@ -180,6 +191,11 @@
         self.term.epoch
     }
 
+    /// What was looked at since the term began.
+    pub fn work_counts(&self) -> WorkCounts {
+        self.work
+    }
+
     /// Records are written in another form, within other limits.
     pub fn set_format(&mut self, format: u64, limits: &StateLimits) {
         self.format = format;
--- a/src/scheduler/records.rs
+++ b/src/scheduler/records.rs
@@ -183,18 +183,21 @@
     /// Writes what has changed. Placements and ends go at once; of the rest, those that
     /// have waited the longest go as far as `spare_writes` changes allow.
     pub(super) fn write_changes(&mut self, now: u64, revision: u64, spare_writes: usize) {
-        let may_write = |id: &Arc<str>| {
+        let mut considered = 0;
+        let mut may_write = |id: &&Arc<str>| {
+            considered += 1;
             self.jobs
-                .get(&**id)
+                .get(&***id)
                 .is_some_and(|job| now >= job.write_after && revision >= job.write_after_revision)
         };
         let urgent = self.unwritten.urgent.iter();
-        let mut due: Vec<Arc<str>> = urgent.filter(|id| may_write(id)).cloned().collect();
+        let mut due: Vec<Arc<str>> = urgent.filter(&mut may_write).cloned().collect();
         let wait_ms = to_ms(self.cluster.workers.gang_peer_s * LAZY_WRITE_SHARE);
         let deferred = self.unwritten.deferred.iter();
         let waited = deferred.take_while(|(since, _)| now >= since + wait_ms);
-        let waited = waited.map(|(_, id)| id).filter(|id| may_write(id));
+        let waited = waited.map(|(_, id)| id).filter(&mut may_write);
         due.extend(waited.take(spare_writes).cloned());
+        self.work.records_considered += considered;
         for id in due {
             self.write_record(&id);
         }
--- a/src/scheduler/starts.rs
+++ b/src/scheduler/starts.rs
@@ -115,6 +115,7 @@
             let Some(name) = self.startable.pop_first() else {
                 return;
             };
+            self.work.starts_considered += 1;
             let Some(machine) = self.machines.get(&*name) else {
                 continue;
             };
--- a/tests/parts/main.rs
+++ b/tests/parts/main.rs
@@ -10,6 +10,7 @@
 mod reports;
 mod returns;
 mod settings;
+mod size;
 mod snapshots;
 mod support;
 mod wire;
