--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -12,6 +12,7 @@
 mod search;
 mod snapshot;
 mod victims;
+mod zone_search;
 
 pub use cycle::cycle;
 pub use decision::{Decision, PlannedPlacement, PlannedReservation, PlannedStop, UnmetDemand};
