One way to a part of the memory, to a machine's room and to a kind's totals

Read once more: what stood two or three times or was worked out for each search is one piece now, the addresses that must be reached are not copied for each call, and a list's pages are counted where the list is.

--- a/src/fleet_capacity.rs
+++ b/src/fleet_capacity.rs
@@ -63,7 +63,7 @@
     let checkins = limits.cpu_share * CHECKIN_SHARE * workers.report_s / CHECKIN_CORE_S;
     let takeover_s = workers.lease_s * TAKEOVER_LEASE_SHARE;
     let takeover = limits.cpu_share * takeover_s / CONNECTING_CHECKIN_CORE_S;
-    let memory_bytes = limits.ram_mb * 1024.0 * 1024.0 * MACHINES_MEMORY_SHARE;
+    let memory_bytes = limits.memory_part(MACHINES_MEMORY_SHARE) as f64;
     let deletion_s = workers.lease_s * DELETION_LEASE_SHARE;
     let deleted = cluster.cloud.rps * deletion_s * DELETED_AT_ONCE;
     let capacity = |grant, need, machines: f64| GrantCapacity {
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -350,7 +350,7 @@
     /// comes back with the next request, a worker tries elsewhere first.
     fn close_idlest_server(&mut self) {
         let mut idlest = std::mem::take(&mut self.idlest_servers);
-        self.close_idlest(&mut idlest, |connection| match &connection.role {
+        self.close_idlest(&mut idlest, |connection, _| match &connection.role {
             Role::Server(part) => {
                 let worker_waits = part.worker && connection.waits_since.is_some();
                 (!part.busy && !worker_waits).then_some(part.worker)
@@ -365,12 +365,14 @@
     pub(super) fn close_idlest(
         &mut self,
         idlest: &mut IdlestConnections,
-        closable: impl Fn(&Connection) -> Option<bool>,
+        closable: impl Fn(&Connection, &ConnectionLimits) -> Option<bool>,
     ) {
         loop {
             while let Some(idle) = idlest.pop() {
                 let connection = self.connections.get(&idle.id);
-                let unused = |c: &&Connection| c.used_at == idle.used_at && closable(c).is_some();
+                let unused = |c: &&Connection| {
+                    c.used_at == idle.used_at && closable(c, &self.limits).is_some()
+                };
                 if connection.is_some_and(|c| unused(&c)) {
                     return self.close(idle.id);
                 }
@@ -381,7 +383,7 @@
             let all = self.connections.iter();
             let idle = all.filter_map(|(id, connection)| {
                 Some(IdleConnection {
-                    worker: closable(connection)?,
+                    worker: closable(connection, &self.limits)?,
                     used_at: connection.used_at,
                     id: *id,
                 })
--- a/src/net/http_client.rs
+++ b/src/net/http_client.rs
@@ -112,10 +112,9 @@
             return true;
         }
         let mut idlest = std::mem::take(&mut self.idlest_clients);
-        let vital = self.limits.vital.clone();
-        self.close_idlest(&mut idlest, |connection| match &connection.role {
+        self.close_idlest(&mut idlest, |connection, limits| match &connection.role {
             Role::Client(part) => {
-                (part.call.is_none() && !vital.contains(&part.address)).then_some(true)
+                (part.call.is_none() && !limits.vital.contains(&part.address)).then_some(true)
             }
             Role::Server(_) => None,
         });
--- a/src/node/cloud_sync.rs
+++ b/src/node/cloud_sync.rs
@@ -93,10 +93,7 @@
         let machines_max = self.listed_machines_max();
         match self.machine_list.on_page(page, machines_max, now) {
             PageResult::More => self.machine_list_tick(),
-            PageResult::Complete {
-                machines,
-                started_at,
-            } => {
+            PageResult::Complete(machines) => {
                 if let Some(scheduler) = self.scheduler_of(epoch) {
                     scheduler.on_machine_list(&machines, started_at, now);
                 }
@@ -109,7 +106,7 @@
 
     /// How many machines a list may have, by the memory that there is.
     fn listed_machines_max(&self) -> usize {
-        let memory_bytes = self.settings.cluster.limits.ram_mb * 1024.0 * 1024.0;
-        (memory_bytes * LIST_MEMORY_SHARE) as usize / LISTED_MACHINE_BYTES
+        let limits = &self.settings.cluster.limits;
+        limits.memory_part(LIST_MEMORY_SHARE) / LISTED_MACHINE_BYTES
     }
 }
--- a/src/node/list_reader.rs
+++ b/src/node/list_reader.rs
@@ -32,11 +32,8 @@
 pub(super) enum PageResult {
     /// There are more pages.
     More,
-    /// The list is complete, as of the time at which it was begun.
-    Complete {
-        machines: Vec<ListedMachine>,
-        started_at: u64,
-    },
+    /// The list is complete.
+    Complete(Vec<ListedMachine>),
     /// The list can't be right: nothing of it counts.
     Invalid(ListError),
 }
@@ -45,6 +42,7 @@
 #[derive(Debug)]
 struct ListRead {
     started_at: u64,
+    pages: u64,
     machines: Vec<ListedMachine>,
     names: HashSet<String>,
     /// When the next page may be asked for; `None` while one is on its way.
@@ -60,7 +58,6 @@
     read: Option<ListRead>,
     /// Pages of the last complete list.
     pages: u64,
-    pages_read: u64,
     /// Lists in a row that could not be right.
     invalid: u32,
 }
@@ -87,10 +84,10 @@
         if self.read.is_none() {
             let doublings = self.invalid.min(INVALID_DOUBLINGS_MAX);
             self.next_at = now + ((interval_ms * self.pages.max(1)) << doublings);
-            self.pages_read = 0;
         }
         let read = self.read.get_or_insert_with(|| ListRead {
             started_at: now,
+            pages: 0,
             machines: vec![],
             names: HashSet::new(),
             next_page_at: None,
@@ -124,7 +121,7 @@
         let Some(mut read) = self.read.take() else {
             return PageResult::More;
         };
-        self.pages_read += 1;
+        read.pages += 1;
         match take_page(&mut read, page, machines_max) {
             Ok(true) => {
                 read.next_page_at = Some(now);
@@ -133,12 +130,9 @@
                 PageResult::More
             }
             Ok(false) => {
-                self.pages = self.pages_read;
+                self.pages = read.pages;
                 self.invalid = 0;
-                PageResult::Complete {
-                    machines: read.machines,
-                    started_at: read.started_at,
-                }
+                PageResult::Complete(read.machines)
             }
             Err(error) => {
                 self.invalid += 1;
--- a/src/plan/cycle_state.rs
+++ b/src/plan/cycle_state.rs
@@ -36,6 +36,8 @@
     counting_missing: bool,
     /// One machine of each kind: machines of a kind are alike to a job's demands.
     pub kinds: Vec<usize>,
+    /// What a machine of each kind has.
+    pub kind_totals: Vec<Resources>,
     /// Each machine's kind.
     pub kind_of: Vec<usize>,
     /// No job of the queue asks for less of anything: room only shrinks within a cycle, so
@@ -71,6 +73,7 @@
             promised: vec![Resources::default(); machines.len()],
             prospective_victims: vec![vec![]; machines.len()],
             counting_missing: false,
+            kind_totals: kinds.iter().map(|kind| machines[*kind].total).collect(),
             machines,
             teams: snapshot.teams,
             now_s: snapshot.now_s,
@@ -179,11 +182,16 @@
         unpromised.unwrap_or(&self.room)
     }
 
-    /// Prepares the room that a search goes by.
-    pub fn prepare_room(&mut self, prepare: impl FnOnce(&mut RoomLedger, &CycleState)) {
+    /// Makes sure that the room that a search goes by is known.
+    pub fn ensure_room(&mut self) {
         if self.counting_missing && self.unpromised_room.is_none() {
             self.unpromised_room = Some(RoomLedger::new(self));
         }
+    }
+
+    /// Prepares the room that a search goes by.
+    pub fn prepare_room(&mut self, prepare: impl FnOnce(&mut RoomLedger, &CycleState)) {
+        self.ensure_room();
         let mut ledger = if self.counting_missing {
             self.unpromised_room.take().unwrap_or_default()
         } else {
--- a/src/plan/room_ledger.rs
+++ b/src/plan/room_ledger.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use super::cycle_state::CycleState;
-use super::resources::Resources;
 use super::room_index::RoomIndex;
 use super::snapshot::JobView;
 use super::victims::{Offers, Preemptor};
@@ -40,10 +39,7 @@
 
     /// Something about a machine has changed.
     pub fn update(&mut self, state: &CycleState, machine: usize) {
-        let view = &state.machines[machine];
-        let (kind, total) = (state.kind_of[machine], view.total);
-        let room = state.unreserved_room(machine);
-        self.all.set(machine, kind, total, room);
+        note_room(&mut self.all, state, machine);
         for machines in self.reserved.values_mut() {
             machines.remove(&machine);
         }
@@ -52,9 +48,9 @@
             machines.insert(machine);
         }
         if !self.by_image.is_empty() {
-            for image in &view.images {
+            for image in &state.machines[machine].images {
                 if let Some(index) = self.by_image.get_mut(image) {
-                    index.set(machine, kind, total, room);
+                    note_room(index, state, machine);
                 }
             }
         }
@@ -82,9 +78,7 @@
         }
         let mut index = RoomIndex::default();
         for machine in state.machines_with_image(image) {
-            let total = state.machines[*machine].total;
-            let room = state.unreserved_room(*machine);
-            index.set(*machine, state.kind_of[*machine], total, room);
+            note_room(&mut index, state, *machine);
         }
         self.by_image.insert(image.into(), index);
     }
@@ -122,10 +116,9 @@
     }
 }
 
-/// What a machine of each kind has.
-pub(super) fn kind_totals(state: &CycleState) -> Vec<Resources> {
-    let kinds = state.kinds.iter();
-    kinds
-        .map(|machine| state.machines[*machine].total)
-        .collect()
+/// Brings an index up to date with a machine.
+fn note_room(index: &mut RoomIndex, state: &CycleState, machine: usize) {
+    let total = state.machines[machine].total;
+    let room = state.unreserved_room(machine);
+    index.set(machine, state.kind_of[machine], total, room);
 }
--- a/src/plan/search.rs
+++ b/src/plan/search.rs
@@ -44,7 +44,7 @@
         min_count: usize,
     ) -> Option<Assignment> {
         let preemptor = Preemptor::new(self, job);
-        self.prepare_room(|_, _| ());
+        self.ensure_room();
         if mode != SearchMode::WithVictims && self.room().is_full() {
             // On a full fleet nothing need be prepared for the many jobs that wait.
             return (min_count == 0).then(Assignment::default);
--- a/src/plan/zone_search.rs
+++ b/src/plan/zone_search.rs
@@ -9,7 +9,6 @@
 use super::image_map::ImageMachines;
 use super::resources::Resources;
 use super::room_index::{RoomIndex, ShelfIter};
-use super::room_ledger::kind_totals;
 use super::search::{Assignment, Query, SearchMode};
 use super::snapshot::{is_allowed, tasks_per_zone_max, JobView, ZoneCounts};
 use super::victims::{OfferIter, Preemptor};
@@ -178,9 +177,9 @@
     /// The machines with room for a task.
     pub fn free_machines(&self) -> FreeMachines<'a> {
         let ledger = self.state.room();
-        let totals = kind_totals(self.state);
+        let totals = &self.state.kind_totals;
         let shelves = |index: &'a RoomIndex, has_image| {
-            let shelves = index.shelves_for(self.demand, &self.kind_allowed, &totals);
+            let shelves = index.shelves_for(self.demand, &self.kind_allowed, totals);
             shelves.into_iter().map(move |machines| Source {
                 machines,
                 has_image,
@@ -240,9 +239,9 @@
 
     /// Whether a machine without the image has room for a task.
     pub fn has_room_without_image(&self) -> bool {
-        let totals = kind_totals(self.state);
+        let totals = &self.state.kind_totals;
         let all = &self.state.room().all;
-        let shelves = all.shelves_for(self.demand, &self.kind_allowed, &totals);
+        let shelves = all.shelves_for(self.demand, &self.kind_allowed, totals);
         let machines = shelves.into_iter().flatten();
         let machines = machines.chain(self.more_room.iter().copied());
         let mut without_image = machines.filter(|machine| {
--- a/src/scheduler/records.rs
+++ b/src/scheduler/records.rs
@@ -128,7 +128,7 @@
         self.team_limits.on_change();
         if let Some(job) = self.jobs.remove(id) {
             self.dependency_links.remove(&job);
-            self.forget_write_slot(&job.id, job.write_slot);
+            self.unwritten.remove(&job.id, job.write_slot);
             for placement in &job.placements {
                 if let Some(machine) = self.machines.get_mut(&*placement.machine) {
                     machine.remove_recorded(id, None);
--- a/src/scheduler/unwritten.rs
+++ b/src/scheduler/unwritten.rs
@@ -16,7 +16,8 @@
 }
 
 impl UnwrittenJobs {
-    fn remove(&mut self, id: &Arc<str>, slot: WriteSlot) {
+    /// Takes a job out of where it stands.
+    pub fn remove(&mut self, id: &Arc<str>, slot: WriteSlot) {
         match slot {
             WriteSlot::None => false,
             WriteSlot::Urgent => self.urgent.remove(id),
@@ -47,9 +48,4 @@
             job.write_slot = wanted;
         }
     }
-
-    /// A job is not live any more.
-    pub(super) fn forget_write_slot(&mut self, id: &Arc<str>, slot: WriteSlot) {
-        self.unwritten.remove(id, slot);
-    }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -19,7 +19,8 @@
 /// The stack of the planning thread, which needs little.
 const PLANNER_STACK_BYTES: usize = 512 * 1024;
 
-/// The part of the memory that one answer to a call may take, and what it may take in any
+/// The part of the memory that one answer to a call may take, which takes a few times its
+/// size when it is decoded, and what it may take in any
 /// case: a page of the state service has up to 512 KiB.
 const REPLY_MEMORY_SHARE: f64 = 1.0 / 16.0;
 const REPLY_MIN: usize = 1024 * 1024;
@@ -117,23 +118,18 @@
 }
 
 fn connection_limits(settings: &Settings) -> ConnectionLimits {
+    let limits = &settings.cluster.limits;
     let peers = settings.peers.iter().map(|peer| peer.address);
     let mut vital: HashSet<SocketAddr> = peers.collect();
     vital.extend([settings.endpoints.state, settings.endpoints.cloud]);
     ConnectionLimits {
-        fd_limit: settings.cluster.limits.fd_limit,
+        fd_limit: limits.fd_limit,
         vital,
         worker_idle: Duration::from_secs_f64(settings.cluster.workers.lease_s),
-        reply_max: reply_max(settings.cluster.limits.ram_mb),
+        reply_max: limits.memory_part(REPLY_MEMORY_SHARE).max(REPLY_MIN),
     }
 }
 
-/// The largest answer that is held: decoded, it takes a few times its size.
-fn reply_max(ram_mb: f64) -> usize {
-    let memory_bytes = ram_mb * 1024.0 * 1024.0;
-    ((memory_bytes * REPLY_MEMORY_SHARE) as usize).max(REPLY_MIN)
-}
-
 /// The planning thread.
 fn plan_forever(shared: &Shared, waker: &Waker) {
     loop {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -319,6 +319,13 @@
     }
 }
 
+impl ProcessLimits {
+    /// A part of the memory, in bytes.
+    pub fn memory_part(&self, share: f64) -> usize {
+        (self.ram_mb * 1024.0 * 1024.0 * share) as usize
+    }
+}
+
 impl ClusterSettings {
     fn check(&self) -> Result<(), SettingsError> {
         check_positive("cluster.workers.report_s", self.workers.report_s)?;
