--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -10,6 +10,7 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 
 use super::connection::{Connection, Role};
+use super::http_client::REPLY_HEAD_MAX;
 use super::idlest::{IdleConnection, IdlestConnections};
 use super::{Event, Listener, Outcome, BODY_MAX, HEAD_MAX};
 
@@ -512,7 +513,7 @@
         };
         let max = match connection.role {
             Role::Server(_) => BODY_MAX + HEAD_MAX,
-            Role::Client(_) => self.limits.reply_max,
+            Role::Client(_) => self.limits.reply_max + REPLY_HEAD_MAX,
         };
         // Nobody reads on beyond what a request may be.
         while connection.input.len() <= max {
--- a/src/net/http_client.rs
+++ b/src/net/http_client.rs
@@ -13,7 +13,7 @@
 
 const HEADERS_MAX: usize = 48;
 /// Largest head of a reply.
-const REPLY_HEAD_MAX: usize = 4 * HEAD_MAX;
+pub(super) const REPLY_HEAD_MAX: usize = 4 * HEAD_MAX;
 
 /// The head of a reply.
 struct ReplyHead {
--- a/src/node/list_reader.rs
+++ b/src/node/list_reader.rs
@@ -11,7 +11,7 @@
 /// Failures of one page after which the whole list is begun anew.
 const PAGE_TRIES_MAX: u32 = 6;
 /// How often the pause between two reads is doubled after lists that can't be right.
-const INVALID_DOUBLINGS_MAX: u32 = 5;
+const INVALID_DOUBLINGS_MAX: u32 = 2;
 
 /// Why a list can't be right.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -21,6 +21,10 @@
         array_ms: 30_000,
         gang_ms: 40_000,
     };
+    pub const ENDLESS: RunTimes = RunTimes {
+        array_ms: 3_600_000,
+        gang_ms: 3_600_000,
+    };
     pub const LONG: RunTimes = RunTimes {
         array_ms: 120_000,
         gang_ms: 240_000,
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{RunTimes, Sim};
+use common::{submission, ListFault, RunTimes, Sim};
 
 /// All machines come up and work, the leader ends, then a third of the machines is lost:
 /// every job is done, and nothing ran twice.
@@ -18,3 +18,73 @@
     assert!(sim.until(400_000, |sim| sim.all_done() && sim.settled()));
     sim.assert_sound();
 }
+
+/// A list of over ten pages, while machines come and go between them, and pages that are
+/// refused, repeat, hold nothing or never end: no machine is taken for gone, and nothing
+/// that is made up is taken in.
+#[test]
+fn the_last_good_list_stays_while_pages_are_wrong() {
+    let (mut sim, _) = Sim::with_full_queue(5500, RunTimes::ENDLESS);
+    sim.worker_tick_ms = 500;
+    assert!(sim.until(90_000, |sim| sim.workers.len() > 5300));
+    let leader = sim.leader().expect("a leader");
+    let known = |sim: &Sim| {
+        let node = sim.nodes[leader].as_ref().expect("a controller");
+        let machines = &node.scheduler.as_ref().expect("it leads").machines;
+        machines.keys().cloned().collect::<Vec<String>>()
+    };
+    sim.run(25_000);
+    let before = known(&sim);
+    assert!(before.len() > 5300, "{}", before.len());
+    for fault in [
+        ListFault::RefusesHalf,
+        ListFault::Repeats,
+        ListFault::Empty,
+        ListFault::Endless,
+    ] {
+        sim.cloud.list_fault = Some(fault);
+        let pages = sim.cloud.pages_read;
+        let tried = sim.until(200_000, |sim| sim.cloud.pages_read > pages + 2);
+        assert!(tried, "{fault:?}: the list is tried again");
+        sim.run(5000);
+        let pages = sim.cloud.pages_read - pages;
+        assert!(pages <= 60, "{fault:?}: {pages} pages");
+        assert!(known(&sim) == before, "{fault:?}");
+        assert_eq!(sim.leader(), Some(leader), "{fault:?}");
+    }
+    // Afterwards the list is read as ever: a machine that it lacks is taken for gone.
+    sim.cloud.list_fault = None;
+    let lost = before[5].clone();
+    sim.cloud.machines.remove(&lost);
+    assert!(sim.until(400_000, |sim| !known(sim).contains(&lost)));
+    sim.assert_sound();
+}
+
+/// A controller that was away for long is told more changes than it can hold. The same
+/// question brought the same answer for ever; now it reads everything again, by pages.
+#[test]
+fn changes_that_cannot_be_held_are_read_by_pages() {
+    let mut sim = Sim::new();
+    sim.run(2000);
+    let leader = sim.leader().expect("a leader");
+    let away = (leader + 1) % 3;
+    sim.no_state.insert(away);
+    for n in 0..60 {
+        let id = format!("run-{n:06}");
+        sim.submit(leader, &submission(&id, "sweep", 2, 2.0, "normal"), 4000);
+        sim.run(100);
+    }
+    sim.run(20_000);
+    sim.reply_max = 16 * 1024;
+    sim.no_state.clear();
+    sim.run(5000);
+    assert!(sim.too_large > 0, "there was such an answer");
+    assert!(sim.too_large < 10, "{} of them", sim.too_large);
+    for n in 0..60 {
+        let slot = sim.ask(away, "GET", &format!("/work/run-{n:06}"), vec![]);
+        sim.run(200);
+        assert_eq!(sim.answer(slot).map(|answer| answer.0), Some(200));
+    }
+    sim.finish(300_000);
+    sim.assert_sound();
+}
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -482,3 +482,103 @@
         assert_eq!(s.read(&mut [0; 1]).expect("an end"), 0, "it hangs up");
     }
 }
+
+/// The head of an answer without a body.
+fn read_head(socket: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut byte = [0; 1];
+    while !head.ends_with(b"\r\n\r\n") {
+        socket.read_exact(&mut byte).expect("an answer");
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).expect("a head")
+}
+
+/// With more machines than places for their connections each would lose its own just
+/// before its next report, if the idlest made room: nobody would keep one. Those that are
+/// there keep theirs, and the others are served on connections of one request.
+#[test]
+fn more_machines_than_sockets() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let limits = ConnectionLimits {
+        fd_limit: 64,
+        vital: HashSet::new(),
+        worker_idle: Duration::from_secs(3600),
+        reply_max: 1 << 20,
+    };
+    let mut net = EventLoop::new(front, any, limits).expect("it listens");
+    let mut machines: Vec<Option<TcpStream>> = (0..90).map(|_| None).collect();
+    let mut connections = Vec::new();
+    for _ in 0..3 {
+        let mut opened = 0;
+        for kept in &mut machines {
+            let mut socket = kept.take().unwrap_or_else(|| {
+                opened += 1;
+                TcpStream::connect(front).expect("a connection")
+            });
+            socket
+                .write_all(b"POST /checkin HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+                .expect("it takes a request");
+            let mut answered = false;
+            let mut turns = 0;
+            while !answered {
+                turns += 1;
+                assert!(turns < 4000, "a request is never read");
+                for event in net.turn(Duration::from_millis(5)).expect("a turn") {
+                    if let Event::Request { connection, .. } = event {
+                        net.answer(connection, 200, None, &[]);
+                        answered = true;
+                    }
+                }
+            }
+            let head = read_head(&mut socket);
+            *kept = (!head.contains("Connection: close")).then_some(socket);
+        }
+        connections.push(opened);
+    }
+    let kept = machines.iter().flatten().count();
+    assert!((40..48).contains(&kept), "{kept} keep their connection");
+    assert_eq!(connections, [90, 90 - kept, 90 - kept]);
+}
+
+/// An answer at the bound is taken, one beyond it is told from none.
+#[test]
+fn answers_at_and_beyond_the_bound() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let other = TcpListener::bind(any).expect("a port");
+    let to = other.local_addr().expect("an address");
+    let bound = 100_000;
+    std::thread::spawn(move || {
+        for (socket, length) in other.incoming().zip([bound, bound + 1]) {
+            let mut socket = socket.expect("a connection");
+            let _ = read_message(&mut socket);
+            let head =
+                format!("HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
+            let _ = socket.write_all(head.as_bytes());
+            let _ = socket.write_all(&vec![b'x'; length]);
+        }
+    });
+    let limits = ConnectionLimits {
+        fd_limit: 64,
+        vital: HashSet::from([to]),
+        worker_idle: Duration::from_secs(3600),
+        reply_max: bound,
+    };
+    let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let mut net = EventLoop::new(front, any, limits).expect("it listens");
+    let mut outcome_of = |tag: u64| {
+        net.call(tag, to, "GET", "/watch", &[], Duration::from_secs(20));
+        for _ in 0..8000 {
+            for event in net.turn(Duration::from_millis(5)).expect("a turn") {
+                if let Event::Reply { outcome, .. } = event {
+                    return outcome;
+                }
+            }
+        }
+        panic!("no outcome of call {tag}");
+    };
+    let first = outcome_of(1);
+    assert!(matches!(first, Outcome::Answer { body, .. } if body.len() == bound));
+    assert_eq!(outcome_of(2), Outcome::TooLarge);
+}
