--- a/crates/duty-lease/src/intent.rs
+++ b/crates/duty-lease/src/intent.rs
@@ -12,15 +12,21 @@
 pub enum Order {
     /// Rent machines.
     Rent {
-        /// The kind of machine.
-        kind: String,
+        /// The type of the machines.
+        machine_type: String,
+        /// Where they are to be.
+        zone: String,
+        /// Whether they may be taken back at any time.
+        spot: bool,
         /// How many at most.
         count: u32,
     },
-    /// Delete a machine.
+    /// Delete machines.
     Delete {
-        /// Its name.
-        machine: String,
+        /// Their names.
+        machines: Vec<String>,
+        /// Only if nothing is on record for them; else they are given up with all that is.
+        if_empty: bool,
     },
 }
 
@@ -60,6 +66,8 @@
 pub struct Intent {
     /// The order's name.
     pub id: OrderId,
+    /// The need that it meets.
+    pub need: String,
     /// The order.
     pub order: Order,
     /// The version of its key.
@@ -68,12 +76,15 @@
 }
 
 /// What carrying out an order brought.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum OrderResult {
     /// Machines were rented, perhaps fewer than asked for.
     Rented(Vec<String>),
     /// None of the kind is to be had.
     NoCapacity,
-    /// The machine is gone.
+    /// The machines are gone.
     Deleted,
+    /// It was not carried out and never will be.
+    Rejected,
 }
--- a/crates/duty-lease/src/lease.rs
+++ b/crates/duty-lease/src/lease.rs
@@ -208,6 +208,12 @@
         self.holding().map(|holding| holding.token)
     }
 
+    /// Whether it neither holds the duty nor is about to: its reads need not be newer than
+    /// what a watch has told.
+    pub fn is_following(&self) -> bool {
+        self.state == State::Following
+    }
+
     /// The version of the lease key, on condition of which intents are recorded.
     pub fn holder_version(&self) -> Option<u64> {
         self.holding().map(|holding| holding.version)
--- a/crates/duty-lease/src/order_book.rs
+++ b/crates/duty-lease/src/order_book.rs
@@ -219,6 +219,7 @@
         self.next_sequence += 1;
         let intent = Intent {
             id,
+            need: need.id.clone(),
             order: need.order.clone(),
             version: 0,
         };
--- a/crates/duty-lease/tests/properties.rs
+++ b/crates/duty-lease/tests/properties.rs
@@ -227,7 +227,9 @@
     Need {
         id: format!("{number}"),
         order: Order::Rent {
-            kind: "k".into(),
+            machine_type: "k".into(),
+            zone: "a".into(),
+            spot: false,
             count: 1,
         },
         version: number + 1,
--- a/crates/duty-lease/tests/simulation/provider.rs
+++ b/crates/duty-lease/tests/simulation/provider.rs
@@ -69,9 +69,11 @@
                 }
                 self.rent(id, *count as usize)
             }
-            Order::Delete { machine } => {
-                if self.machines.remove(machine) {
-                    history.add(now, Event::Deleted(machine.clone()));
+            Order::Delete { machines, .. } => {
+                for machine in machines {
+                    if self.machines.remove(machine) {
+                        history.add(now, Event::Deleted(machine.clone()));
+                    }
                 }
                 OrderResult::Deleted
             }
--- a/crates/duty-lease/tests/simulation/world.rs
+++ b/crates/duty-lease/tests/simulation/world.rs
@@ -818,10 +818,11 @@
             let own = |m: &String| Write::Set(format!("machine/{m}"), Value::Mark, None);
             machines.iter().map(own).collect()
         }
-        (Order::Delete { machine }, OrderResult::Deleted) => vec![
-            Write::Delete(format!("machine/{machine}")),
-            Write::Delete(format!("return/{machine}")),
-        ],
+        (Order::Delete { machines, .. }, OrderResult::Deleted) => {
+            let forget = |m: &String| [format!("machine/{m}"), format!("return/{m}")];
+            let keys = machines.iter().flat_map(forget);
+            keys.map(Write::Delete).collect()
+        }
         _ => vec![],
     }
 }
@@ -849,7 +850,9 @@
         let need = Need {
             id: format!("rent-{need_id}"),
             order: Order::Rent {
-                kind: "k".into(),
+                machine_type: "k".into(),
+                zone: "a".into(),
+                spot: false,
                 count: rng.random_range(1..3),
             },
             version: 0,
@@ -884,7 +887,8 @@
         let need = Need {
             id: format!("return-{machine}"),
             order: Order::Delete {
-                machine: machine.clone(),
+                machines: vec![machine.clone()],
+                if_empty: true,
             },
             version: 0,
         };
--- a/src/leader_lease.rs
+++ b/src/leader_lease.rs
@@ -2,13 +2,11 @@
 //! grant, and an epoch that rises with each election and fences earlier leaders.
 
 use crate::job::PACKED_FORMAT;
-use crate::replica::{LeaderKey, Replica, LEADER_KEY, LEASE_KEY};
+use crate::leadership_keys::{Fence, LeaderKey};
+use crate::replica::Replica;
 use crate::settings::{ClusterSettings, OperatorSettings};
 use crate::time_units::to_ms;
 
-/// Processor time that may be asked for at once, as after a takeover: a grant
-/// has to outlast it, however small the share.
-const STALL_CORE_S: f64 = 0.2;
 /// Longest life of a grant, as a share of a worker's lease.
 const LIFE_SHARE_MAX: f64 = 0.25;
 /// Shortest life that the state service gives a grant.
@@ -18,33 +16,11 @@
 pub fn lease_life_ms(cluster: &ClusterSettings, operator: &OperatorSettings) -> u64 {
     let lease_s = cluster.workers.lease_s;
     let life = (lease_s * operator.leader_life_share)
-        .max(STALL_CORE_S / cluster.limits.cpu_share)
+        .max(cluster.limits.stall_s())
         .min(lease_s * LIFE_SHARE_MAX);
     to_ms(life)
 }
 
-/// How an election keeps the version in production from leading.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fence {
-    /// Not at all: that version may run and lead.
-    None,
-    /// The lease is held by the key that it does not know, and the one that it knows is
-    /// superseded in the same transaction.
-    Raise,
-    /// The lease is held by the key that it does not know; the other is superseded already.
-    Raised,
-}
-
-impl Fence {
-    /// The key that holds the lease.
-    pub fn leader_key(self) -> &'static str {
-        match self {
-            Fence::None => LEADER_KEY,
-            Fence::Raise | Fence::Raised => LEASE_KEY,
-        }
-    }
-}
-
 /// Changes of the transaction that raises the fence.
 const RAISE_WRITES: usize = 3;
 
@@ -55,11 +31,11 @@
     pub grant: u64,
     /// The epoch of the new leadership.
     pub epoch: u64,
-    /// The version of [`LEADER_KEY`].
+    /// The version of [`crate::leadership_keys::LEADER_KEY`].
     pub leader_version: u64,
-    /// The version of [`LEASE_KEY`].
+    /// The version of [`crate::leadership_keys::LEASE_KEY`].
     pub lease_version: u64,
-    /// The version of [`crate::replica::EPOCH_KEY`].
+    /// The version of [`crate::leadership_keys::EPOCH_KEY`].
     pub epoch_version: u64,
     /// How the key is kept from the version in production.
     pub fence: Fence,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod admission;
 pub mod cloud;
 pub mod dependencies;
+pub mod duties;
 pub mod fleet_capacity;
 pub mod job;
 pub mod leader_lease;
+pub mod leadership_keys;
 pub mod machine;
 pub mod mesh;
 pub mod net;
--- a/src/machine.rs
+++ b/src/machine.rs
@@ -143,6 +143,37 @@
     TaskFailed,
     /// It reports although its deletion was sent.
     DeletionSent,
+    /// An earlier leader wanted it returned.
+    OnRecord,
+}
+
+/// What has to be looked at before a machine is returned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ReturnGroup {
+    /// It has nothing to do: the holder of that duty looks once more.
+    Idle,
+    /// It was drained, and is returned only if it is empty.
+    Drained,
+    /// It is given up with all that is on record for it.
+    Lost,
+}
+
+impl ReturnReason {
+    /// What has to be looked at before.
+    pub fn group(self) -> ReturnGroup {
+        match self {
+            ReturnReason::Idle | ReturnReason::OnRecord => ReturnGroup::Idle,
+            ReturnReason::TaskFailed => ReturnGroup::Drained,
+            ReturnReason::Failed
+            | ReturnReason::Reclaimed
+            | ReturnReason::NotListed
+            | ReturnReason::Silent
+            | ReturnReason::Unreachable
+            | ReturnReason::Unknown
+            | ReturnReason::NeverUp
+            | ReturnReason::DeletionSent => ReturnGroup::Lost,
+        }
+    }
 }
 
 impl fmt::Display for ReturnReason {
@@ -158,6 +189,7 @@
             ReturnReason::NeverUp => "it never came up",
             ReturnReason::TaskFailed => "a task failed on it",
             ReturnReason::DeletionSent => "its deletion was sent",
+            ReturnReason::OnRecord => "an earlier leader wanted it returned",
         })
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,10 @@
 //! The command line of gaugesill.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
+use gaugesill::duties::{read_report, QueryError};
 use gaugesill::fleet_capacity::grant_capacities;
 use gaugesill::settings::{OperatorSettings, Settings, SettingsError};
 use thiserror::Error;
@@ -11,11 +12,17 @@
 
 /// A cluster scheduler that starts gangs all or nothing.
 #[derive(Parser)]
-#[command(version)]
+#[command(
+    version,
+    args_conflicts_with_subcommands = true,
+    subcommand_negates_reqs = true
+)]
 struct Args {
+    #[command(subcommand)]
+    command: Option<Query>,
     /// The platform's settings file (JSON)
-    #[arg(long, value_name = "FILE")]
-    config: PathBuf,
+    #[arg(long, value_name = "FILE", required = true)]
+    config: Option<PathBuf>,
     /// The operators' own settings (TOML); every key has a default
     #[arg(long, value_name = "FILE")]
     operator: Option<PathBuf>,
@@ -24,6 +31,20 @@
     check: bool,
 }
 
+/// Questions about a running service.
+#[derive(Subcommand)]
+enum Query {
+    /// Show who holds each duty, and the orders that are open
+    Duties {
+        /// The platform's settings file (JSON)
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 /// Why the program ends.
 #[derive(Debug, Error)]
 enum StartError {
@@ -33,6 +54,10 @@
     Settings(#[from] SettingsError),
     #[error("the event loop failed: {0}")]
     EventLoop(#[from] std::io::Error),
+    #[error("duties: {0}")]
+    Query(#[from] QueryError),
+    #[error("duties: the report can't be written: {0}")]
+    Report(#[from] serde_json::Error),
 }
 
 fn log_level() -> Result<LevelFilter, StartError> {
@@ -43,8 +68,21 @@
     }
 }
 
+fn show_duties(config: &Path, as_json: bool) -> Result<(), StartError> {
+    let report = read_report(&Settings::load(config)?)?;
+    if as_json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{report}");
+    }
+    Ok(())
+}
+
 fn run() -> Result<(), StartError> {
     let args = Args::parse();
+    if let Some(Query::Duties { config, json }) = &args.command {
+        return show_duties(config, *json);
+    }
     tracing_subscriber::fmt()
         .with_max_level(log_level()?)
         .with_writer(std::io::stderr)
@@ -52,11 +90,13 @@
         .without_time()
         .with_ansi(false)
         .init();
-    let settings = Settings::load(&args.config)?;
+    let config = args.config.unwrap_or_default();
+    let settings = Settings::load(&config)?;
     let operator = match &args.operator {
         Some(file) => OperatorSettings::load(file)?,
         None => OperatorSettings::default(),
     };
+    operator.check_against(&settings)?;
     if args.check {
         println!("settings are fine");
         for capacity in grant_capacities(&settings.cluster) {
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use duty_lease::{Duty, OrderId};
 use prost::Message;
 use tracing::warn;
 
@@ -35,6 +36,16 @@
     Lease(LeaseRequest),
     /// The end of a grant.
     Revoke,
+    /// A page of the records of duties.
+    LoadDuties,
+    /// A request for the lease of a duty, by its number.
+    DutyLease {
+        duty: Duty,
+        id: u64,
+        request: duty_lease::LeaseRequest,
+    },
+    /// An order of a duty's holder.
+    DutyOrder { id: OrderId, is_rental: bool },
     /// How a job ended that a user asks about.
     ReadFinal { user: u64 },
     /// The record of a job that a submission names, or how it ended.
@@ -88,6 +99,27 @@
         HttpCall::get(format!("/kv/{key}"), READ_TIMEOUT_MS)
     }
 
+    /// Asks the state service for a grant.
+    pub fn create_grant(life_ms: u64, timeout_ms: u64) -> HttpCall {
+        let body = wire::encode(&wire::GrantRequest { life_ms });
+        HttpCall::post("/grants", body, timeout_ms)
+    }
+
+    /// Renews a grant.
+    pub fn renew_grant(grant: u64, timeout_ms: u64) -> HttpCall {
+        HttpCall::post(format!("/grants/{grant}/renew"), vec![], timeout_ms)
+    }
+
+    /// Ends a grant.
+    pub fn end_grant(grant: u64, timeout_ms: u64) -> HttpCall {
+        HttpCall {
+            method: "DELETE",
+            path: format!("/grants/{grant}"),
+            body: vec![],
+            timeout_ms,
+        }
+    }
+
     pub fn post(path: impl Into<String>, body: Vec<u8>, timeout_ms: u64) -> HttpCall {
         HttpCall {
             method: "POST",
@@ -108,6 +140,8 @@
                 | PendingCall::ReadChanges { .. }
                 | PendingCall::Transaction
                 | PendingCall::Lease(_)
+                | PendingCall::LoadDuties
+                | PendingCall::DutyLease { .. }
                 | PendingCall::ReadFinal { .. }
                 | PendingCall::ReadDependency { .. }
                 | PendingCall::LookUpDependency { .. }
@@ -177,6 +211,13 @@
             }
             PendingCall::Lease(request) => self.on_lease_outcome(request, &outcome),
             PendingCall::Revoke => {}
+            PendingCall::LoadDuties => self.on_duties_page(&outcome),
+            PendingCall::DutyLease { duty, id, request } => {
+                self.on_duty_lease_outcome(duty, id, &request, &outcome);
+            }
+            PendingCall::DutyOrder { id, is_rental } => {
+                self.on_duty_order_reply(id, is_rental, &outcome);
+            }
             PendingCall::ReadFinal { user } => self.on_final_read(user, &outcome),
             PendingCall::ReadDependency {
                 user,
--- /dev/null
+++ b/src/node/duties/leases.rs
@@ -0,0 +1,203 @@
+//! The leases of duties: requests to the state service, and changes of hands.
+
+use duty_lease::{
+    Duty, HolderKey, LeaseEvent, LeaseRequest, LeaseResponse, LeaseView, SuspensionReason,
+    WriteGuard,
+};
+use tracing::{debug, info, warn};
+
+use super::Node;
+use crate::duties::{
+    holder_key, token_key, DutyRecords, StoredHolder, DUTIES_PREFIX, LEASES_PREFIX,
+};
+use crate::net::Outcome;
+use crate::node::calls::{HttpCall, PendingCall};
+use crate::wire::{self, Condition, Transaction, Write};
+
+/// Keys of one lease.
+const LEASE_KEYS: usize = 10;
+/// Share of the requests to the state service that leases of duties leave to others.
+const LEASE_RESERVE: f64 = 0.1;
+
+impl Node {
+    /// Takes the part of this controller in a duty's lease further.
+    pub(super) fn run_lease(&mut self, duty: Duty) {
+        let now = self.now.steady;
+        let generation = self.replica.duties.generation();
+        let Some(part) = self.duties.part(duty) else {
+            return;
+        };
+        if part.lease_generation != Some(generation) {
+            part.lease_generation = Some(generation);
+            part.lease.on_view(&self.replica.duties.lease(duty), now);
+        }
+        if let Some((id, request)) = part.lease.tick(now) {
+            // Who only follows learns all from the watch.
+            if request == LeaseRequest::Read && part.lease.is_following() {
+                let view = self.replica.duties.lease(duty);
+                part.lease.on_response(id, LeaseResponse::View(view), now);
+            } else {
+                self.send_duty_lease_request(duty, id, request);
+            }
+        }
+        self.pass_lease_events(duty);
+    }
+
+    fn send_duty_lease_request(&mut self, duty: Duty, id: u64, request: LeaseRequest) {
+        let now = self.now.steady;
+        if !self.state_requests.try_take(now, 1.0, LEASE_RESERVE) {
+            if let Some(part) = self.duties.part(duty) {
+                part.lease.on_response(id, LeaseResponse::Refused, now);
+            }
+            return;
+        }
+        let Some(control) = &self.duties.control else {
+            return;
+        };
+        let timeout_ms = control.timing.answer_timeout_ms();
+        let call = match &request {
+            LeaseRequest::Read => {
+                let prefix = format!("{LEASES_PREFIX}{}/", duty.name());
+                HttpCall::get(format!("/kv?under={prefix}&most={LEASE_KEYS}"), timeout_ms)
+            }
+            LeaseRequest::CreateGrant { life_ms } => HttpCall::create_grant(*life_ms, timeout_ms),
+            LeaseRequest::Acquire {
+                holder,
+                grant,
+                holder_version,
+                token_version,
+            } => {
+                let transaction = Transaction {
+                    conditions: vec![
+                        Condition::new(holder_key(duty), *holder_version),
+                        Condition::new(token_key(duty), *token_version),
+                    ],
+                    writes: acquisition_writes(duty, holder, *grant, self.now.wall),
+                };
+                HttpCall::post("/txn", wire::encode(&transaction), timeout_ms)
+            }
+            LeaseRequest::Renew { grant } => HttpCall::renew_grant(*grant, timeout_ms),
+            LeaseRequest::Release { grant } => HttpCall::end_grant(*grant, timeout_ms),
+        };
+        let pending = PendingCall::DutyLease { duty, id, request };
+        self.call_state_service(pending, call);
+    }
+
+    pub(in crate::node) fn on_duty_lease_outcome(
+        &mut self,
+        duty: Duty,
+        id: u64,
+        request: &LeaseRequest,
+        outcome: &Outcome,
+    ) {
+        let now = self.now.steady;
+        let response = response_to(duty, request, outcome);
+        if let (LeaseRequest::Acquire { holder, .. }, LeaseResponse::Acquired { version }) =
+            (request, &response)
+        {
+            let duties = &mut self.replica.duties;
+            duties.acquired(duty, holder.clone(), *version);
+        }
+        if let Some(part) = self.duties.part(duty) {
+            part.lease.on_response(id, response, now);
+        }
+        self.pass_lease_events(duty);
+    }
+
+    /// Tells the order book and the log of changes of hands.
+    pub(super) fn pass_lease_events(&mut self, duty: Duty) {
+        let member = self.settings.member.clone();
+        let Some(part) = self.duties.part(duty) else {
+            return;
+        };
+        for event in part.lease.take_events() {
+            match event {
+                LeaseEvent::Gained(token) => {
+                    info!(duty = duty.name(), token, member, "the duty is held here");
+                    part.orders_generation = None;
+                    part.deciding.clear();
+                    if let Some(holder_version) = part.lease.holder_version() {
+                        part.orders.on_gained(token, WriteGuard { holder_version });
+                    }
+                }
+                LeaseEvent::Lost(token, reason) => {
+                    warn!(
+                        duty = duty.name(),
+                        token, member, "the duty is lost: {reason:?}"
+                    );
+                    part.orders.on_lost();
+                }
+                LeaseEvent::Released(token) => {
+                    info!(duty = duty.name(), token, member, "the duty is given up");
+                    part.orders.on_lost();
+                }
+                LeaseEvent::Suspended(token, SuspensionReason::NotRenewedYet) => {
+                    debug!(
+                        duty = duty.name(),
+                        token, member, "no orders before a renewal"
+                    );
+                }
+                LeaseEvent::Suspended(token, reason) => {
+                    warn!(
+                        duty = duty.name(),
+                        token, member, "no orders for now: {reason:?}"
+                    );
+                }
+                LeaseEvent::Resumed(token) => {
+                    debug!(duty = duty.name(), token, member, "the lease is confirmed");
+                }
+            }
+        }
+    }
+}
+
+fn acquisition_writes(duty: Duty, holder: &HolderKey, grant: u64, wall_ms: u64) -> Vec<Write> {
+    let stored = StoredHolder {
+        holder: holder.clone(),
+        since_ms: wall_ms,
+    };
+    vec![
+        Write::serialized(holder_key(duty), &stored).attached_to(grant),
+        Write::set(token_key(duty), holder.token.into()),
+    ]
+}
+
+fn response_to(duty: Duty, request: &LeaseRequest, outcome: &Outcome) -> LeaseResponse {
+    let (status, body) = match outcome {
+        Outcome::Answer { status, body } => (*status, body),
+        Outcome::NotSent => return LeaseResponse::Refused,
+        Outcome::NoAnswer | Outcome::TooLarge => return LeaseResponse::NoAnswer,
+    };
+    match (request, status) {
+        (LeaseRequest::Read, 200) => {
+            read_view(duty, body).map_or(LeaseResponse::Refused, LeaseResponse::View)
+        }
+        (LeaseRequest::CreateGrant { .. }, 200) => {
+            let granted = wire::decode::<wire::Grant>(body);
+            granted.map_or(LeaseResponse::Refused, |g| LeaseResponse::Granted(g.grant))
+        }
+        (LeaseRequest::Acquire { .. }, 200) => {
+            let reply = wire::decode::<wire::TransactionReply>(body);
+            reply.map_or(LeaseResponse::NoAnswer, |reply| LeaseResponse::Acquired {
+                version: reply.revision,
+            })
+        }
+        (LeaseRequest::Acquire { .. }, 409) => LeaseResponse::Conflict,
+        (LeaseRequest::Renew { .. }, 200) => LeaseResponse::Renewed,
+        (LeaseRequest::Release { .. }, 200) => LeaseResponse::Released,
+        (LeaseRequest::Renew { .. } | LeaseRequest::Release { .. }, 404) => {
+            LeaseResponse::GrantEnded
+        }
+        _ => LeaseResponse::Refused,
+    }
+}
+
+fn read_view(duty: Duty, body: &[u8]) -> Option<LeaseView> {
+    let page = wire::decode::<wire::Page>(body)?;
+    let mut records = DutyRecords::default();
+    let pairs = page.pairs.iter();
+    for pair in pairs.filter(|pair| pair.key.starts_with(DUTIES_PREFIX)) {
+        records.apply_set(&pair.key, &pair.value, pair.version);
+    }
+    Some(records.lease(duty))
+}
--- /dev/null
+++ b/src/node/duties/mod.rs
@@ -0,0 +1,254 @@
+//! Duties under fenced leases: which this controller holds, and the orders that it gives as
+//! their holder. The planning leader decides what is to be done (`needs`), the holder of a
+//! duty does it (`orders`, `reclaim`, `cleaning`).
+//!
+//! Nothing of this happens before all controllers have said that they can do it, and the
+//! format says so ([`DUTIES_FORMAT`]).
+
+mod cleaning;
+mod leases;
+mod needs;
+mod orders;
+mod placement;
+mod reclaim;
+
+use std::collections::BTreeMap;
+
+use duty_lease::{Duty, DutyLease, LeaseTiming, OrderBook, OrderId};
+
+use super::Node;
+use crate::duties::{holder_key, order_key, OrderKey, OrderRecord, DUTIES_FORMAT};
+use crate::job::PACKED_FORMAT;
+use crate::settings::{ClusterSettings, DutySettings};
+use crate::wire::{Condition, Write};
+use crate::write_queue::{CommitResult, WriteClass, WriteRequest};
+
+use super::WriteOwner;
+use cleaning::Cleaning;
+use needs::LeaderNeeds;
+use placement::Placement;
+
+/// Shares of the limit of calls to the cloud, once orders and the list are asked for by
+/// different controllers: the holder's of rentals or returns, and the leader's. Their
+/// bursts rarely meet.
+const HOLDER_CLOUD_SHARE: f64 = 0.6;
+const LEADER_CLOUD_SHARE: f64 = 0.4;
+/// Calls a second that suffice for a call at a time, however low the limit is.
+const CLOUD_RATE_MIN: f64 = 1.5;
+
+/// A change of orders' records.
+#[derive(Debug, Clone)]
+pub(super) struct DutyWrite {
+    purpose: WritePurpose,
+    /// The records that it sets, or removes.
+    changes: Vec<(OrderKey, Option<OrderRecord>)>,
+}
+
+impl DutyWrite {
+    /// Whether it is a leader's, whose term it depends on.
+    pub fn is_of_leader(&self) -> bool {
+        let purpose = &self.purpose;
+        matches!(
+            purpose,
+            WritePurpose::Need { .. } | WritePurpose::ResultTaken
+        )
+    }
+}
+
+/// Who waits for a change of orders' records.
+#[derive(Debug, Clone)]
+enum WritePurpose {
+    /// The leader, which needs something.
+    Need { epoch: u64 },
+    /// The leader, which has taken in a result.
+    ResultTaken,
+    /// The order book: an order is recorded.
+    Record(OrderId),
+    /// The order book: an order is completed.
+    Complete(OrderId),
+    /// The holder, which found that a need can't be met, or passes it on.
+    Decided,
+    /// The holder of cleaning.
+    Clean,
+    /// Nobody: a refused order was noted.
+    Refusal,
+}
+
+/// This controller's part in one duty.
+#[derive(Debug)]
+struct DutyPart {
+    lease: DutyLease,
+    orders: OrderBook,
+    /// The records that the lease and the order book were last shown.
+    lease_generation: Option<u64>,
+    orders_generation: Option<u64>,
+    /// Records whose change is on its way.
+    deciding: Vec<OrderKey>,
+}
+
+/// This controller's part in all duties.
+#[derive(Debug)]
+pub(super) struct DutyControl {
+    settings: DutySettings,
+    timing: LeaseTiming,
+    parts: BTreeMap<Duty, DutyPart>,
+    placement: Placement,
+    cleaning: Cleaning,
+}
+
+/// Duties as seen by one controller.
+#[derive(Debug, Default)]
+pub(super) struct DutyState {
+    /// Its own part; `None` if operators have not switched it on.
+    control: Option<DutyControl>,
+    /// The leader's part.
+    needs: LeaderNeeds,
+}
+
+impl DutyState {
+    pub fn new(member: &str, cluster: &ClusterSettings, settings: Option<&DutySettings>) -> Self {
+        let control = settings.map(|settings| {
+            let timing = settings.timing(cluster.workers.lease_s);
+            let part = |duty| DutyPart {
+                lease: DutyLease::new(member, timing),
+                orders: OrderBook::new(duty, timing),
+                lease_generation: None,
+                orders_generation: None,
+                deciding: vec![],
+            };
+            DutyControl {
+                settings: settings.clone(),
+                timing,
+                parts: Duty::ALL.map(|duty| (duty, part(duty))).into(),
+                placement: Placement::default(),
+                cleaning: Cleaning::new(settings.cleaning_per_s),
+            }
+        });
+        DutyState {
+            control,
+            needs: LeaderNeeds::default(),
+        }
+    }
+
+    fn part(&mut self, duty: Duty) -> Option<&mut DutyPart> {
+        self.control.as_mut()?.parts.get_mut(&duty)
+    }
+}
+
+impl Node {
+    /// The latest format that this controller asks for and can keep to.
+    pub(super) fn known_format(&self) -> u64 {
+        if self.duties.control.is_some() {
+            DUTIES_FORMAT
+        } else {
+            PACKED_FORMAT
+        }
+    }
+
+    /// Whether duties have left the leader.
+    pub(super) fn are_duties_active(&self) -> bool {
+        self.replica.format >= DUTIES_FORMAT && !self.is_outdated()
+    }
+
+    /// Does what has come due; to be called often, as holders look at the clock here.
+    pub(super) fn duties_tick(&mut self) {
+        if !self.are_duties_active() || !self.replica.loaded {
+            return;
+        }
+        self.place_duties();
+        self.warn_of_missing_holders();
+        self.remove_taken_results();
+        self.clean_records();
+        self.set_cloud_share();
+    }
+
+    /// Sends what has come due between ticks.
+    pub(super) fn duties_flush(&mut self) {
+        if !self.are_duties_active() || !self.replica.loaded {
+            return;
+        }
+        self.pass_order_changes();
+        for duty in Duty::ALL {
+            self.run_lease(duty);
+            self.decide_needs(duty);
+            self.run_orders(duty);
+        }
+    }
+
+    /// Whether this controller holds a duty, orders or not.
+    fn holds(&self, duty: Duty) -> bool {
+        let control = self.duties.control.as_ref();
+        let part = control.and_then(|control| control.parts.get(&duty));
+        part.is_some_and(|part| part.lease.token().is_some())
+    }
+
+    /// Whether this controller may give orders of a duty at this very moment.
+    fn may_order(&mut self, duty: Duty) -> bool {
+        let now = self.now.steady;
+        let part = self.duties.part(duty);
+        part.is_some_and(|part| part.lease.order_token(now).is_some())
+    }
+
+    fn set_cloud_share(&mut self) {
+        let now = self.now.steady;
+        let orders = self.holds(Duty::Rent) || self.holds(Duty::Return);
+        let share = match (orders, self.scheduler.is_some()) {
+            (true, true) => super::CLOUD_SHARE,
+            (true, false) => HOLDER_CLOUD_SHARE,
+            _ => LEADER_CLOUD_SHARE,
+        };
+        let rps = self.settings.cluster.cloud.rps;
+        let rate = (rps * share).max(CLOUD_RATE_MIN);
+        let rate = rate.min(rps * super::CLOUD_SHARE);
+        self.cloud_requests.set_rate(now, rate);
+    }
+
+    /// Changes records on condition that the lease of a duty is ours, that each record has
+    /// the version that is known of it, and that new ones do not exist.
+    fn write_as_holder(&mut self, duty: Duty, write: DutyWrite) {
+        let part = self.duties.part(duty);
+        let Some(version) = part.and_then(|part| part.lease.holder_version()) else {
+            return;
+        };
+        self.push_duty_write(Condition::new(holder_key(duty), version), write);
+    }
+
+    fn push_duty_write(&mut self, entitled: Condition, write: DutyWrite) {
+        let mut conditions = vec![entitled];
+        let mut writes = Vec::new();
+        for (key, record) in &write.changes {
+            let version = self.replica.duties.order(key).map_or(0, |(_, v)| v);
+            let name = order_key(key);
+            conditions.push(Condition::new(name.clone(), version));
+            writes.push(match record {
+                Some(record) => Write::set(name, record.to_value()),
+                None => Write::delete(name),
+            });
+        }
+        self.writes.push(WriteRequest {
+            owner: WriteOwner::Duty(Box::new(write)),
+            conditions,
+            writes,
+            class: WriteClass::Duty,
+        });
+    }
+
+    /// What became of a change of orders' records.
+    pub(super) fn on_duty_commit(&mut self, write: DutyWrite, result: &CommitResult) {
+        if let CommitResult::Committed { revision } = result {
+            for (key, record) in &write.changes {
+                let duties = &mut self.replica.duties;
+                duties.apply_own(key, record.clone(), *revision);
+            }
+        }
+        match write.purpose {
+            WritePurpose::Need { epoch } => self.on_need_written(epoch, &write.changes, result),
+            WritePurpose::Record(id) => self.on_order_recorded(id, result),
+            WritePurpose::Complete(id) => self.on_order_completed(id, result),
+            WritePurpose::Decided => self.on_decided(&write.changes),
+            WritePurpose::Clean => self.on_cleaned(&write.changes),
+            WritePurpose::ResultTaken => self.on_result_taken(&write.changes),
+            WritePurpose::Refusal => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/node/duties/needs.rs
@@ -0,0 +1,303 @@
+//! The leader's part in duties: it writes what is needed, and takes in what came of it.
+
+use std::collections::{BTreeMap, HashSet};
+
+use duty_lease::{Duty, Order, OrderResult};
+
+use super::{DutyWrite, Node, WritePurpose};
+use crate::cloud::MachineKind;
+use crate::duties::{OrderChange, OrderKey, OrderPhase, OrderRecord};
+use crate::machine::ReturnGroup;
+use crate::scheduler::{RentalOutcome, Scheduler};
+use crate::write_queue::CommitResult;
+
+/// Most machines of one need, as of one deletion.
+const RETURN_MAX: usize = 100;
+/// The part of a value that the names of machines may take, and what each takes beside its
+/// own length.
+const NAMES_PART: usize = 2;
+const NAME_MARKS: usize = 4;
+/// Rentals that may wait for the holder before the leader asks for no more.
+const WAITING_RENTALS_MAX: usize = 16;
+
+/// The leader's needs that are on their way to the state service.
+#[derive(Debug, Default)]
+pub(super) struct LeaderNeeds {
+    /// Machines whose return is being written.
+    pending_returns: HashSet<String>,
+    /// Results whose removal is being written.
+    taken: HashSet<OrderKey>,
+    /// Return needs written in this process, for their names.
+    return_count: u64,
+    /// Duties without a holder: since when, and whether that was said.
+    missing_since: BTreeMap<Duty, (u64, bool)>,
+}
+
+impl LeaderNeeds {
+    /// For how long a duty has had no holder, if that is longer than `bound_ms` and was not
+    /// said yet.
+    pub fn missing_for(
+        &mut self,
+        duty: Duty,
+        is_held: bool,
+        bound_ms: u64,
+        now: u64,
+    ) -> Option<u64> {
+        if is_held {
+            self.missing_since.remove(&duty);
+            return None;
+        }
+        let (since, said) = self.missing_since.entry(duty).or_insert((now, false));
+        let free_ms = now.saturating_sub(*since);
+        let says = free_ms > bound_ms && !*said;
+        *said |= says;
+        says.then_some(free_ms)
+    }
+}
+
+impl Node {
+    /// The leader needs machines.
+    pub(in crate::node) fn need_rental(&mut self, booking: String, kind: &MachineKind, count: u64) {
+        let key = OrderKey {
+            duty: Duty::Rent,
+            need: booking,
+        };
+        let order = Order::Rent {
+            machine_type: kind.machine_type.clone(),
+            zone: kind.zone.clone(),
+            spot: kind.spot,
+            count: count as u32,
+        };
+        self.write_need(key, order);
+    }
+
+    /// The leader wants machines returned, those that are not on record for it yet.
+    pub(in crate::node) fn need_returns(&mut self, machines: Vec<String>) {
+        let mut groups: BTreeMap<ReturnGroup, Vec<String>> = BTreeMap::new();
+        for name in machines {
+            let is_known = self.replica.duties.is_returned(&name)
+                || self.duties.needs.pending_returns.contains(&name);
+            let machine = self.scheduler.as_ref().and_then(|s| s.machines.get(&name));
+            let reason = machine.and_then(|machine| machine.return_reason);
+            if let Some(reason) = reason.filter(|_| !is_known) {
+                groups.entry(reason.group()).or_default().push(name);
+            }
+        }
+        for (group, names) in groups {
+            let part_max = self.return_part_max(&names);
+            for part in names.chunks(part_max) {
+                self.need_return(group, part.to_vec());
+            }
+        }
+    }
+
+    /// How many machines a need may name.
+    fn return_part_max(&self, names: &[String]) -> usize {
+        let value_bytes = (self.state_limits().lowered().value_kb * 1024.0) as usize;
+        let longest = names.iter().map(String::len).max().unwrap_or(0);
+        let fitting = value_bytes / NAMES_PART / (longest + NAME_MARKS);
+        fitting.clamp(1, RETURN_MAX)
+    }
+
+    fn need_return(&mut self, group: ReturnGroup, machines: Vec<String>) {
+        let (duty, if_empty) = match group {
+            ReturnGroup::Idle => (Duty::ReclaimIdle, true),
+            ReturnGroup::Drained => (Duty::Return, true),
+            ReturnGroup::Lost => (Duty::Return, false),
+        };
+        let needs = &mut self.duties.needs;
+        needs.return_count += 1;
+        let number = needs.return_count;
+        needs.pending_returns.extend(machines.iter().cloned());
+        // The count starts anew with a process, as its epoch does not.
+        let need = format!("{}-{}-return-{number}", self.settings.member, self.epoch());
+        let order = Order::Delete { machines, if_empty };
+        self.write_need(OrderKey { duty, need }, order);
+    }
+
+    /// Writes a need in one transaction, which is sent once: a second one could create it
+    /// anew after it was met.
+    fn write_need(&mut self, key: OrderKey, order: Order) {
+        let epoch = self.epoch();
+        let record = OrderRecord {
+            order,
+            phase: OrderPhase::Needed,
+            since_ms: self.now.wall,
+        };
+        let write = DutyWrite {
+            purpose: WritePurpose::Need { epoch },
+            changes: vec![(key, Some(record))],
+        };
+        self.write_as_leader(write);
+    }
+
+    fn write_as_leader(&mut self, write: DutyWrite) {
+        let condition = self.scheduler.as_ref().map(|s| s.term_condition());
+        if let Some(condition) = condition {
+            self.push_duty_write(condition, write);
+        }
+    }
+
+    pub(super) fn on_need_written(
+        &mut self,
+        epoch: u64,
+        changes: &[(OrderKey, Option<OrderRecord>)],
+        result: &CommitResult,
+    ) {
+        let now = self.now.steady;
+        for (key, record) in changes {
+            let machines = record.iter().flat_map(OrderRecord::returned_machines);
+            for machine in machines {
+                self.duties.needs.pending_returns.remove(machine);
+            }
+            let is_written = matches!(result, CommitResult::Committed { .. })
+                || self.replica.duties.order(key).is_some();
+            // Without an answer it may yet be written; it is taken in then.
+            if let Some(scheduler) = self.scheduler_of(epoch).filter(|_| !is_written) {
+                if key.duty == Duty::Rent {
+                    scheduler.on_rental(&key.need, RentalOutcome::Withdrawn, now);
+                }
+            }
+        }
+        if self.scheduler_of(epoch).is_some() {
+            self.step_down_if_deposed(result);
+        }
+    }
+
+    /// The leader has begun a term: what is on record is taken in as it stands.
+    pub(in crate::node) fn take_in_orders(&mut self) {
+        self.duties.needs.pending_returns.clear();
+        self.duties.needs.taken.clear();
+        if !self.are_duties_active() {
+            return;
+        }
+        self.replica.duties.take_changes();
+        let orders = self.replica.duties.orders();
+        let orders: Vec<(OrderKey, OrderRecord)> = orders
+            .map(|(key, record, _)| (key.clone(), record.clone()))
+            .collect();
+        for (key, record) in orders {
+            self.take_in_order(&key, &record);
+        }
+    }
+
+    /// Tells the scheduler of orders' records that have changed.
+    pub(super) fn pass_order_changes(&mut self) {
+        let changes = self.replica.duties.take_changes();
+        if self.scheduler.is_none() {
+            return;
+        }
+        for change in changes {
+            match &change.after {
+                Some(record) => self.take_in_order(&change.key, record),
+                None => self.on_order_removed(&change),
+            }
+        }
+    }
+
+    fn take_in_order(&mut self, key: &OrderKey, record: &OrderRecord) {
+        let now = self.now.steady;
+        let Some(scheduler) = &mut self.scheduler else {
+            return;
+        };
+        match (&record.order, &record.phase) {
+            (_, OrderPhase::Completed(result)) => {
+                match result {
+                    OrderResult::Rented(names) => {
+                        adopt_rental(scheduler, key, record, now);
+                        let rented = RentalOutcome::Rented(names.clone());
+                        scheduler.on_rental(&key.need, rented, now);
+                    }
+                    OrderResult::NoCapacity | OrderResult::Rejected => {
+                        scheduler.on_rental(&key.need, RentalOutcome::Refused, now);
+                        scheduler.on_return_refused(record.returned_machines());
+                    }
+                    OrderResult::Deleted => {
+                        scheduler.on_deleted(record.returned_machines(), true, now);
+                    }
+                }
+                self.remove_taken(key.clone());
+            }
+            (Order::Rent { .. }, _) => adopt_rental(scheduler, key, record, now),
+            (Order::Delete { machines, .. }, _) => scheduler.on_return_recorded(machines),
+        }
+    }
+
+    /// Removes the record of an order whose result was taken in.
+    fn remove_taken(&mut self, key: OrderKey) {
+        if !self.duties.needs.taken.insert(key.clone()) {
+            return;
+        }
+        let write = DutyWrite {
+            purpose: WritePurpose::ResultTaken,
+            changes: vec![(key, None)],
+        };
+        self.write_as_leader(write);
+    }
+
+    pub(super) fn on_result_taken(&mut self, changes: &[(OrderKey, Option<OrderRecord>)]) {
+        for (key, _) in changes {
+            self.duties.needs.taken.remove(key);
+        }
+    }
+
+    /// Removes what was taken in and is still on record: a removal may have failed.
+    pub(super) fn remove_taken_results(&mut self) {
+        if self.scheduler.is_none() {
+            return;
+        }
+        let is_completed = |record: &OrderRecord| matches!(record.phase, OrderPhase::Completed(_));
+        let orders = self.replica.duties.orders();
+        let completed = orders.filter(|(_, record, _)| is_completed(record));
+        let completed: Vec<OrderKey> = completed.map(|(key, ..)| key.clone()).collect();
+        for key in completed {
+            self.remove_taken(key);
+        }
+    }
+
+    fn on_order_removed(&mut self, change: &OrderChange) {
+        let now = self.now.steady;
+        let (Some(scheduler), Some(before)) = (&mut self.scheduler, &change.before) else {
+            return;
+        };
+        let machines = before.returned_machines();
+        match before.phase {
+            // A recorded deletion is removed by its completion only.
+            OrderPhase::Recorded(_) => scheduler.on_deleted(machines, true, now),
+            OrderPhase::Needed => {
+                scheduler.on_rental(&change.key.need, RentalOutcome::Withdrawn, now);
+                let is_open = |name: &&String| self.replica.duties.is_returned(name);
+                let left = machines.iter().filter(|name| !is_open(name));
+                let left: Vec<String> = left.cloned().collect();
+                scheduler.on_return_refused(&left);
+            }
+            OrderPhase::Completed(_) => {}
+        }
+    }
+
+    /// How many more rentals the leader may ask for.
+    pub(in crate::node) fn rentals_allowed(&self) -> usize {
+        let orders = self.replica.duties.orders_of(Duty::Rent);
+        let open = |record: &OrderRecord| !matches!(record.phase, OrderPhase::Completed(_));
+        let waiting = orders.filter(|(_, record, _)| open(record)).count();
+        WAITING_RENTALS_MAX.saturating_sub(waiting)
+    }
+}
+
+/// An open rental that this leader may not know, as another one needed it.
+fn adopt_rental(scheduler: &mut Scheduler, key: &OrderKey, record: &OrderRecord, now: u64) {
+    if let Order::Rent {
+        machine_type,
+        zone,
+        spot,
+        count,
+    } = &record.order
+    {
+        let kind = MachineKind {
+            machine_type: machine_type.clone(),
+            zone: zone.clone(),
+            spot: *spot,
+        };
+        scheduler.adopt_rental(&key.need, kind, u64::from(*count), now);
+    }
+}
--- /dev/null
+++ b/src/node/duties/orders.rs
@@ -0,0 +1,245 @@
+//! A holder's orders: recorded, sent to the cloud, completed.
+
+use duty_lease::{
+    Duty, Order, OrderId, OrderOutcome, OrderRequest, OrderResult, RecordOutcome, Token,
+};
+use tracing::{error, info, warn};
+
+use super::{DutyWrite, Node, WritePurpose};
+use crate::duties::{refusal_key, OrderKey, OrderPhase, OrderRecord, RefusalRecord};
+use crate::net::Outcome;
+use crate::node::calls::{HttpCall, PendingCall};
+use crate::node::effects::CLOUD_TIMEOUT_MS;
+use crate::node::WriteOwner;
+use crate::settings::DutyFence;
+use crate::wire::{self, DeleteRequest, FencingToken, RentRequest, Write};
+use crate::write_queue::{CommitResult, WriteClass, WriteRequest};
+
+/// The name under which an order goes to the cloud. It never equals a leader's rental,
+/// which ends in a dash and a number.
+fn booking(id: OrderId) -> String {
+    format!("{}.{}.{}", id.duty.name(), id.token, id.sequence)
+}
+
+impl Node {
+    /// Takes a holder's orders further.
+    pub(super) fn run_orders(&mut self, duty: Duty) {
+        if !matches!(duty, Duty::Rent | Duty::Return) || !self.holds(duty) {
+            return;
+        }
+        self.show_orders(duty);
+        let now = self.now.steady;
+        let Some(part) = self.duties.part(duty) else {
+            return;
+        };
+        let order_token = part.lease.order_token(now);
+        for request in part.orders.tick(order_token, now) {
+            self.carry_out_order_request(duty, request);
+        }
+    }
+
+    /// Shows the order book the records, if they have changed.
+    fn show_orders(&mut self, duty: Duty) {
+        let generation = self.replica.duties.generation();
+        let Some(part) = self.duties.part(duty) else {
+            return;
+        };
+        if part.orders_generation == Some(generation) {
+            return;
+        }
+        part.orders_generation = Some(generation);
+        let intents = self.replica.duties.intents(duty);
+        let mut needs = self.replica.duties.needs(duty);
+        let all = needs.len();
+        let occupied = self.occupied_machines(&needs);
+        needs.retain(|need| self.may_meet(need, &occupied));
+        if let Some(part) = self.duties.part(duty) {
+            if needs.len() < all {
+                // What was left out is looked at again, even if nothing else changes.
+                part.orders_generation = None;
+            }
+            part.orders.on_view(&intents, &needs);
+        }
+    }
+
+    fn carry_out_order_request(&mut self, duty: Duty, request: OrderRequest) {
+        match request {
+            OrderRequest::Record { intent, need, .. } => {
+                let key = OrderKey {
+                    duty,
+                    need: need.id,
+                };
+                let phase = OrderPhase::Recorded(intent.id);
+                self.write_phase(WritePurpose::Record(intent.id), key, phase);
+            }
+            OrderRequest::Send { id, order, token } => self.send_order(id, &order, token),
+            OrderRequest::Complete { intent, result, .. } => {
+                let key = OrderKey {
+                    duty,
+                    need: intent.need,
+                };
+                let purpose = WritePurpose::Complete(intent.id);
+                if result == OrderResult::Deleted {
+                    let changes = vec![(key, None)];
+                    self.write_as_holder(duty, DutyWrite { purpose, changes });
+                } else {
+                    self.write_phase(purpose, key, OrderPhase::Completed(result));
+                }
+            }
+        }
+    }
+
+    /// Takes an order's record to its next phase.
+    pub(super) fn write_phase(&mut self, purpose: WritePurpose, key: OrderKey, phase: OrderPhase) {
+        let duty = key.duty;
+        let Some((record, _)) = self.replica.duties.order(&key) else {
+            // It has gone since: the order book learns of it as of a change that failed.
+            return self.on_duty_commit(
+                DutyWrite {
+                    purpose,
+                    changes: vec![(key, None)],
+                },
+                &CommitResult::Conflict {
+                    failed: vec![],
+                    revision: self.replica.revision,
+                },
+            );
+        };
+        let record = OrderRecord {
+            phase,
+            ..record.clone()
+        };
+        let changes = vec![(key, Some(record))];
+        self.write_as_holder(duty, DutyWrite { purpose, changes });
+    }
+
+    fn send_order(&mut self, id: OrderId, order: &Order, token: Token) {
+        let now = self.now.steady;
+        if !self.cloud_requests.try_take(now, 1.0, 0.0) {
+            return self.on_order_outcome(id, OrderOutcome::Unknown);
+        }
+        let fence = self.duties.control.as_ref().map(|c| c.settings.fence);
+        let fencing = (fence == Some(DutyFence::ProviderToken)).then_some(FencingToken {
+            duty: id.duty.name(),
+            token,
+        });
+        let call = match order {
+            Order::Rent {
+                machine_type,
+                zone,
+                spot,
+                count,
+            } => {
+                info!(order = %id, token, "renting {count} {machine_type} in {zone}, spot {spot}");
+                let body = wire::encode(&RentRequest {
+                    booking: &booking(id),
+                    machine_type,
+                    zone,
+                    spot: *spot,
+                    count: u64::from(*count),
+                    fencing,
+                });
+                HttpCall::post(wire::RENT_PATH, body, CLOUD_TIMEOUT_MS)
+            }
+            Order::Delete { machines, .. } => {
+                info!(order = %id, token, "returning {machines:?}");
+                let body = wire::encode(&DeleteRequest {
+                    names: machines,
+                    fencing,
+                });
+                HttpCall::post(wire::DELETE_PATH, body, CLOUD_TIMEOUT_MS)
+            }
+        };
+        let is_rental = matches!(order, Order::Rent { .. });
+        self.call_cloud(PendingCall::DutyOrder { id, is_rental }, call);
+    }
+
+    /// The cloud has answered an order, or there was no answer.
+    pub(in crate::node) fn on_duty_order_reply(
+        &mut self,
+        id: OrderId,
+        is_rental: bool,
+        outcome: &Outcome,
+    ) {
+        let order_outcome = match outcome {
+            Outcome::Answer { status: 200, body } if is_rental => {
+                let machines = wire::decode::<wire::MachineNames>(body);
+                machines.map_or(OrderOutcome::Unknown, |machines| {
+                    OrderOutcome::Done(OrderResult::Rented(machines.names))
+                })
+            }
+            Outcome::Answer { status: 200, .. } => OrderOutcome::Done(OrderResult::Deleted),
+            Outcome::Answer { status: 409, .. } => OrderOutcome::Fenced,
+            Outcome::Answer { status: 503, body } if wire::is_no_capacity(body) => {
+                OrderOutcome::Done(OrderResult::NoCapacity)
+            }
+            Outcome::Answer { status: 400, .. } => {
+                error!(order = %id, "the cloud refuses the order as malformed");
+                OrderOutcome::Done(OrderResult::Rejected)
+            }
+            Outcome::Answer { status: 429, .. } => {
+                self.cloud_requests.drain();
+                OrderOutcome::Unknown
+            }
+            _ => OrderOutcome::Unknown,
+        };
+        self.on_order_outcome(id, order_outcome);
+    }
+
+    fn on_order_outcome(&mut self, id: OrderId, outcome: OrderOutcome) {
+        let now = self.now.steady;
+        let Some(part) = self.duties.part(id.duty) else {
+            return;
+        };
+        let token = part.lease.token();
+        if !part.orders.on_sent(id, outcome, now) {
+            return;
+        }
+        part.lease.on_fenced(now);
+        self.pass_lease_events(id.duty);
+        self.note_refusal(id, token.unwrap_or(id.token));
+    }
+
+    /// Leaves on record that the provider refused an order, for operators.
+    fn note_refusal(&mut self, id: OrderId, token: Token) {
+        let member = self.settings.member.clone();
+        warn!(duty = id.duty.name(), token, member, order = %id, "refused: a higher token was seen");
+        let refusal = RefusalRecord {
+            member,
+            token,
+            order: id.to_string(),
+            at_ms: self.now.wall,
+        };
+        self.writes.push(WriteRequest {
+            owner: WriteOwner::Duty(Box::new(DutyWrite {
+                purpose: WritePurpose::Refusal,
+                changes: vec![],
+            })),
+            conditions: vec![],
+            writes: vec![Write::serialized(refusal_key(id.duty), &refusal)],
+            class: WriteClass::Duty,
+        });
+    }
+
+    pub(super) fn on_order_recorded(&mut self, id: OrderId, result: &CommitResult) {
+        let now = self.now.steady;
+        if let Some(part) = self.duties.part(id.duty) {
+            part.orders.on_recorded(id, record_outcome(result), now);
+        }
+    }
+
+    pub(super) fn on_order_completed(&mut self, id: OrderId, result: &CommitResult) {
+        let now = self.now.steady;
+        if let Some(part) = self.duties.part(id.duty) {
+            part.orders.on_completed(id, record_outcome(result), now);
+        }
+    }
+}
+
+fn record_outcome(result: &CommitResult) -> RecordOutcome {
+    match result {
+        CommitResult::Committed { revision } => RecordOutcome::Written { version: *revision },
+        CommitResult::Conflict { .. } => RecordOutcome::Conflict,
+        CommitResult::Rejected | CommitResult::Unknown => RecordOutcome::Unknown,
+    }
+}
--- /dev/null
+++ b/src/node/duties/placement.rs
@@ -0,0 +1,130 @@
+//! Where duties are: which of them this controller stands for.
+
+use std::collections::BTreeMap;
+
+use duty_lease::{assign, AssignmentRules, Duty, LiveMember};
+use tracing::{info, warn};
+
+use super::Node;
+use crate::duties::DUTIES_FORMAT;
+
+/// How often it is decided anew, as a share of a lease's life.
+const INTERVAL_SHARE: f64 = 0.1;
+/// Lives for which a duty may be without a holder before any controller stands for it, and
+/// before the leader says so.
+const FREE_LIVES: u64 = 2;
+
+/// What is known of the live controllers and of duties that nobody holds.
+#[derive(Debug, Default)]
+pub(super) struct Placement {
+    next_at: u64,
+    /// Since when each live controller has been heard without a gap.
+    live_since: BTreeMap<String, u64>,
+    /// Since when a duty has had no holder.
+    free_since: BTreeMap<Duty, u64>,
+}
+
+impl Node {
+    /// Decides which duties this controller stands for.
+    pub(super) fn place_duties(&mut self) {
+        let now = self.now.steady;
+        let live = self.duty_candidates();
+        let present: BTreeMap<Duty, String> = Duty::ALL
+            .into_iter()
+            .filter_map(|duty| Some((duty, self.replica.duties.holder(duty)?.member.clone())))
+            .collect();
+        let member = self.settings.member.clone();
+        let Some(control) = &mut self.duties.control else {
+            return;
+        };
+        if now < control.placement.next_at {
+            return;
+        }
+        let life_ms = control.timing.life_ms;
+        control.placement.next_at = now + (life_ms as f64 * INTERVAL_SHARE) as u64;
+        let live = control.placement.update_live(live, now);
+        let rules = AssignmentRules {
+            settle_ms: life_ms,
+            pinned: control.settings.holders.clone(),
+        };
+        let assigned = assign(&Duty::ALL, &live, &present, &rules);
+        for duty in Duty::ALL {
+            let placement = &mut control.placement;
+            let free_ms = placement.free_for_ms(duty, present.contains_key(&duty), now);
+            let nobody_takes_it = free_ms > FREE_LIVES * life_ms;
+            let is_assigned = assigned.get(&duty) == Some(&member);
+            let Some(part) = control.parts.get_mut(&duty) else {
+                continue;
+            };
+            part.lease.set_wanted(is_assigned || nobody_takes_it);
+            if is_assigned && present.get(&duty).is_some_and(|name| *name != member) {
+                info!(
+                    duty = duty.name(),
+                    member, "waits for the duty to be handed over"
+                );
+            }
+        }
+    }
+
+    /// Controllers that can hold duties as far as is known here.
+    fn duty_candidates(&self) -> Vec<String> {
+        let mut names = Vec::new();
+        if self.is_state_reachable() {
+            names.push(self.settings.member.clone());
+        }
+        for peer in &self.settings.peers {
+            let status = self.recent_status(&peer.member);
+            let can_hold =
+                status.is_some_and(|s| s.state_reachable && s.known_format >= DUTIES_FORMAT);
+            if can_hold {
+                names.push(peer.member.clone());
+            }
+        }
+        names
+    }
+
+    /// The leader says so if what it needs is not done. It goes on with what is there and
+    /// never acts in the holder's stead.
+    pub(super) fn warn_of_missing_holders(&mut self) {
+        if self.scheduler.is_none() {
+            return;
+        }
+        let now = self.now.steady;
+        let lease_s = self.settings.cluster.workers.lease_s;
+        let settings = self.operator.duties.clone().unwrap_or_default();
+        let bound_ms = FREE_LIVES * settings.timing(lease_s).life_ms;
+        for duty in Duty::ALL {
+            let is_held = self.replica.duties.holder(duty).is_some();
+            let waiting = self.replica.duties.orders_of(duty).count();
+            if let Some(free_ms) = self.duties.needs.missing_for(duty, is_held, bound_ms, now) {
+                warn!(
+                    duty = duty.name(),
+                    "no controller has held the duty for {free_ms} ms: {waiting} orders wait"
+                );
+            }
+        }
+    }
+}
+
+impl Placement {
+    fn update_live(&mut self, names: Vec<String>, now: u64) -> Vec<LiveMember> {
+        self.live_since.retain(|name, _| names.contains(name));
+        let members = names.into_iter().map(|name| {
+            let since = *self.live_since.entry(name.clone()).or_insert(now);
+            LiveMember {
+                name,
+                live_for_ms: now.saturating_sub(since),
+            }
+        });
+        members.collect()
+    }
+
+    fn free_for_ms(&mut self, duty: Duty, is_held: bool, now: u64) -> u64 {
+        if is_held {
+            self.free_since.remove(&duty);
+            return 0;
+        }
+        let since = *self.free_since.entry(duty).or_insert(now);
+        now.saturating_sub(since)
+    }
+}
--- /dev/null
+++ b/src/node/duties/reclaim.rs
@@ -0,0 +1,134 @@
+//! Needs that are checked against the records before anything is ordered: machines that are
+//! to be returned only if they are empty.
+
+use std::collections::HashSet;
+
+use duty_lease::{Duty, Need, Order, OrderResult};
+use tracing::{error, info};
+
+use super::{DutyWrite, Node, WritePurpose};
+use crate::duties::{OrderKey, OrderPhase, OrderRecord};
+
+impl Node {
+    /// Looks at needs to return empty machines, as the holder of a duty. A machine that has
+    /// a task on record is not returned, whoever needed that. Idle machines that pass are
+    /// handed to the duty that returns machines.
+    pub(super) fn decide_needs(&mut self, duty: Duty) {
+        if !matches!(duty, Duty::ReclaimIdle | Duty::Return) || !self.holds(duty) {
+            return;
+        }
+        // Only what the records are as recent as: own changes may be ahead of them.
+        let revision = self.replica.revision;
+        let mut needs = self.replica.duties.needs(duty);
+        needs.retain(|need| need.version <= revision && self.is_undecided(duty, need));
+        if needs.is_empty() || !self.may_order(duty) {
+            return;
+        }
+        let occupied = self.occupied_machines(&needs);
+        for need in needs {
+            self.decide_need(duty, &need, &occupied);
+        }
+    }
+
+    fn is_undecided(&self, duty: Duty, need: &Need) -> bool {
+        let control = self.duties.control.as_ref();
+        let part = control.and_then(|control| control.parts.get(&duty));
+        part.is_some_and(|part| !part.deciding.iter().any(|key| key.need == need.id))
+    }
+
+    /// Machines that have a task on record, if any of the needs asks for that.
+    pub(super) fn occupied_machines(&self, needs: &[Need]) -> HashSet<String> {
+        if !needs.iter().any(|need| is_conditional(&need.order)) {
+            return HashSet::new();
+        }
+        let jobs = self.replica.jobs.values();
+        let runs = jobs.flat_map(|job| &job.record.runs);
+        runs.map(|run| run.machine.to_string()).collect()
+    }
+
+    /// Whether a need may be met: the records that it was checked against hold all that was
+    /// placed before it was written, and none of them is in its way.
+    pub(super) fn may_meet(&self, need: &Need, occupied: &HashSet<String>) -> bool {
+        let Order::Delete { machines, .. } = &need.order else {
+            return true;
+        };
+        let is_empty = || !machines.iter().any(|machine| occupied.contains(machine));
+        !is_conditional(&need.order) || (need.version <= self.replica.revision && is_empty())
+    }
+
+    fn decide_need(&mut self, duty: Duty, need: &Need, occupied: &HashSet<String>) {
+        let Order::Delete {
+            machines,
+            if_empty: true,
+        } = &need.order
+        else {
+            return;
+        };
+        let key = OrderKey {
+            duty,
+            need: need.id.clone(),
+        };
+        let is_occupied = |machine: &String| occupied.contains(machine);
+        let (busy, empty): (Vec<String>, Vec<String>) =
+            machines.iter().cloned().partition(is_occupied);
+        if !busy.is_empty() {
+            error!(
+                duty = duty.name(),
+                need = need.id,
+                "{busy:?} are not returned: they have tasks on record"
+            );
+            return self.decide(key, OrderPhase::Completed(OrderResult::Rejected));
+        }
+        if duty == Duty::ReclaimIdle {
+            info!(duty = duty.name(), need = need.id, "{empty:?} are idle");
+            self.pass_on_to_return(key, empty);
+        }
+    }
+
+    fn decide(&mut self, key: OrderKey, phase: OrderPhase) {
+        if let Some(part) = self.duties.part(key.duty) {
+            part.deciding.push(key.clone());
+        }
+        self.write_phase(WritePurpose::Decided, key, phase);
+    }
+
+    /// Idle machines become a need of the duty that returns machines, in one transaction.
+    fn pass_on_to_return(&mut self, key: OrderKey, machines: Vec<String>) {
+        let Some((record, _)) = self.replica.duties.order(&key) else {
+            return;
+        };
+        let returned = OrderRecord {
+            order: Order::Delete {
+                machines,
+                if_empty: true,
+            },
+            phase: OrderPhase::Needed,
+            since_ms: record.since_ms,
+        };
+        let return_key = OrderKey {
+            duty: Duty::Return,
+            need: key.need.clone(),
+        };
+        if let Some(part) = self.duties.part(key.duty) {
+            part.deciding.push(key.clone());
+        }
+        let changes = vec![(return_key, Some(returned)), (key, None)];
+        let purpose = WritePurpose::Decided;
+        self.write_as_holder(Duty::ReclaimIdle, DutyWrite { purpose, changes });
+    }
+
+    /// A decision was written, or was not: then it is taken again.
+    pub(super) fn on_decided(&mut self, changes: &[(OrderKey, Option<OrderRecord>)]) {
+        for (key, _) in changes {
+            if let Some(part) = self.duties.part(key.duty) {
+                part.deciding.retain(|deciding| deciding != key);
+                part.orders_generation = None;
+            }
+        }
+    }
+}
+
+/// Whether an order may be given only if the machines are empty.
+fn is_conditional(order: &Order) -> bool {
+    matches!(order, Order::Delete { if_empty: true, .. })
+}
--- a/src/node/effects.rs
+++ b/src/node/effects.rs
@@ -11,7 +11,7 @@
 
 /// Longest times for calls to workers and to the cloud.
 const WORKER_TIMEOUT_MS: u64 = 2000;
-const CLOUD_TIMEOUT_MS: u64 = 4000;
+pub(super) const CLOUD_TIMEOUT_MS: u64 = 4000;
 
 impl Node {
     pub(super) fn carry_out(&mut self, effect: Effect) {
@@ -81,6 +81,9 @@
     }
 
     fn rent(&mut self, booking: String, kind: &MachineKind, count: u64, epoch: u64) {
+        if self.are_duties_active() {
+            return self.need_rental(booking, kind, count);
+        }
         if !self.may_call_cloud() {
             let now = self.now.steady;
             if let Some(scheduler) = &mut self.scheduler {
@@ -95,12 +98,16 @@
             zone: &kind.zone,
             spot: kind.spot,
             count,
+            fencing: None,
         });
-        let call = HttpCall::post("/machines", body, CLOUD_TIMEOUT_MS);
+        let call = HttpCall::post(wire::RENT_PATH, body, CLOUD_TIMEOUT_MS);
         self.call_cloud(PendingCall::Rent { booking, epoch }, call);
     }
 
     fn delete(&mut self, machines: Vec<String>, epoch: u64) {
+        if self.are_duties_active() {
+            return self.need_returns(machines);
+        }
         if !self.may_call_cloud() {
             let now = self.now.steady;
             if let Some(scheduler) = &mut self.scheduler {
@@ -108,10 +115,11 @@
             }
             return;
         }
-        let body = wire::encode(&wire::MachineNames {
-            names: machines.clone(),
+        let body = wire::encode(&wire::DeleteRequest {
+            names: &machines,
+            fencing: None,
         });
-        let call = HttpCall::post("/machines/delete", body, CLOUD_TIMEOUT_MS);
+        let call = HttpCall::post(wire::DELETE_PATH, body, CLOUD_TIMEOUT_MS);
         self.call_cloud(PendingCall::Delete { machines, epoch }, call);
     }
 }
--- a/src/node/format_version.rs
+++ b/src/node/format_version.rs
@@ -11,14 +11,18 @@
 use tracing::{debug, error, info};
 
 use super::{Node, WriteOwner};
+use crate::duties::DUTIES_FORMAT;
 use crate::job::PACKED_FORMAT;
+use crate::leadership_keys::FORMAT_KEY;
 use crate::net::Outcome;
-use crate::replica::{member_key, FORMAT_KEY};
+use crate::replica::member_key;
 use crate::settings::StateLimits;
 use crate::time_units::to_ms;
 use crate::wire::{self, Condition, Write};
 use crate::write_queue::{WriteClass, WriteRequest};
 
+/// The latest format that this version can read.
+const LATEST_FORMAT: u64 = DUTIES_FORMAT;
 /// How often a write that makes a version known is tried, in report intervals.
 const RETRY_REPORTS: f64 = 0.5;
 /// For how many report intervals a refusal for the number of changes counts, while
@@ -45,7 +49,7 @@
     /// The state service holds what only a later version than this one can read: this one
     /// neither leads nor answers users, who would be told that jobs are unknown.
     pub(super) fn is_outdated(&self) -> bool {
-        self.replica.format > PACKED_FORMAT
+        self.replica.format > LATEST_FORMAT
     }
 
     /// What may be asked of the state service.
@@ -74,7 +78,7 @@
     pub(super) fn on_format_changed(&mut self) {
         if self.is_outdated() {
             error!(
-                "the state service holds format {}, this version knows {PACKED_FORMAT}: it must be replaced",
+                "the state service holds format {}, this version knows {LATEST_FORMAT}: it must be replaced",
                 self.replica.format
             );
             return self.resign("a later version has taken over", 0);
@@ -95,14 +99,16 @@
             state.scarce_until = 0;
             self.on_format_changed();
         }
-        let is_raised = self.replica.format >= PACKED_FORMAT;
-        if !self.replica.loaded || is_raised || now < self.format_state.next_write_at {
+        if !self.replica.loaded || now < self.format_state.next_write_at {
             return;
         }
+        if self.replica.format >= PACKED_FORMAT {
+            return self.hand_out_duties();
+        }
         let pause_s = self.settings.cluster.workers.report_s * RETRY_REPORTS;
         self.format_state.next_write_at = now + to_ms(pause_s);
         let is_known = self.replica.members.contains(&self.settings.member);
-        let all_known = is_known && self.do_all_run_this_version();
+        let all_known = is_known && self.do_all_know(PACKED_FORMAT);
         let (conditions, key) =
             if self.format_state.is_proven || (all_known && self.scheduler.is_some()) {
                 let unchanged = Condition::new(FORMAT_KEY, self.replica.format_version);
@@ -120,13 +126,47 @@
         });
     }
 
-    /// Whether each other controller has made itself known, and has just said that it runs
-    /// this version. Its key alone may be older than a return to the version before.
-    fn do_all_run_this_version(&self) -> bool {
+    /// Raises the format from which on duties are not with the leader any more, if all
+    /// controllers are ready for it. Versions that know no duties must not lead then: the
+    /// lease is held out of their reach first.
+    fn hand_out_duties(&mut self) {
+        let is_ready = self.replica.format < DUTIES_FORMAT
+            && self.known_format() >= DUTIES_FORMAT
+            && self.scheduler.is_some()
+            && self.do_all_know(DUTIES_FORMAT);
+        if !is_ready {
+            return;
+        }
+        let pause_s = self.settings.cluster.workers.report_s * RETRY_REPORTS;
+        self.format_state.next_write_at = self.now.steady + to_ms(pause_s);
+        if !self.replica.is_superseded() {
+            return self.resign(
+                "the next leader is elected out of reach of earlier versions",
+                0,
+            );
+        }
+        info!("format {DUTIES_FORMAT}: all controllers hold duties");
+        let Some(scheduler) = &self.scheduler else {
+            return;
+        };
+        self.writes.push(WriteRequest {
+            owner: WriteOwner::FormatVersion,
+            conditions: vec![
+                scheduler.term_condition(),
+                Condition::new(FORMAT_KEY, self.replica.format_version),
+            ],
+            writes: vec![Write::set(FORMAT_KEY.into(), DUTIES_FORMAT.into())],
+            class: WriteClass::User,
+        });
+    }
+
+    /// Whether each other controller has made itself known, and has just said that it knows
+    /// a format. Its key alone may be older than a return to the version before.
+    fn do_all_know(&self, format: u64) -> bool {
         self.settings.peers.iter().all(|peer| {
             let status = self.recent_status(&peer.member);
-            let runs_it = status.is_some_and(|status| status.known_format >= PACKED_FORMAT);
-            runs_it && self.replica.members.contains(&peer.member)
+            let knows_it = status.is_some_and(|status| status.known_format >= format);
+            knows_it && self.replica.members.contains(&peer.member)
         })
     }
 
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -4,9 +4,9 @@
 
 use super::calls::{HttpCall, PendingCall};
 use super::{Node, WriteOwner};
-use crate::leader_lease::{Election, Fence, LeaseRequest, LeaseResponse};
+use crate::leader_lease::{Election, LeaseRequest, LeaseResponse};
+use crate::leadership_keys::{Fence, LeaderKey, EPOCH_KEY, LEADER_KEY, LEASE_KEY};
 use crate::net::Outcome;
-use crate::replica::{LeaderKey, EPOCH_KEY, LEADER_KEY, LEASE_KEY};
 use crate::scheduler::{Scheduler, Term};
 use crate::wire::{self, Condition, Transaction, Write};
 use rand::Rng;
@@ -31,22 +31,10 @@
         let _ = self.state_requests.try_take(self.now.steady, 1.0, 0.0);
         let timeout_ms = self.lease.life_ms / 3;
         let call = match &request {
-            LeaseRequest::Grant => {
-                let body = wire::encode(&wire::GrantRequest {
-                    life_ms: self.lease.life_ms,
-                });
-                HttpCall::post("/grants", body, timeout_ms)
-            }
-            LeaseRequest::Renew(grant) => {
-                HttpCall::post(format!("/grants/{grant}/renew"), vec![], timeout_ms)
-            }
+            LeaseRequest::Grant => HttpCall::create_grant(self.lease.life_ms, timeout_ms),
+            LeaseRequest::Renew(grant) => HttpCall::renew_grant(*grant, timeout_ms),
             LeaseRequest::Revoke(grant) => {
-                let call = HttpCall {
-                    method: "DELETE",
-                    path: format!("/grants/{grant}"),
-                    body: vec![],
-                    timeout_ms,
-                };
+                let call = HttpCall::end_grant(*grant, timeout_ms);
                 return self.call_state_service(PendingCall::Revoke, call);
             }
             LeaseRequest::Elect(election) => {
@@ -112,6 +100,7 @@
             now,
         ));
         self.on_format_changed();
+        self.take_in_orders();
         self.machine_list.restart(now);
         self.plan_timer.in_progress = false;
         let soon = now + MACHINE_TYPES_AFTER_MS;
@@ -123,8 +112,11 @@
         if self.scheduler.take().is_some() {
             warn!("not leading any more: {why}");
         }
-        self.writes
-            .remove_waiting(|owner| matches!(owner, WriteOwner::Job { .. }));
+        self.writes.remove_waiting(|owner| match owner {
+            WriteOwner::Job { .. } => true,
+            WriteOwner::Duty(write) => write.is_of_leader(),
+            _ => false,
+        });
         self.set_state_share(false);
         self.plan_timer.in_progress = false;
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod checkins;
 mod cloud_sync;
 mod dependencies;
+mod duties;
 mod effects;
 mod format_version;
 mod held_checkins;
@@ -29,10 +30,11 @@
 use crate::admission::AdmissionLimit;
 use crate::job::FinalState;
 use crate::leader_lease::{self, LeaderLease};
+use crate::leadership_keys::{LEADER_KEY, LEASE_KEY};
 use crate::mesh::{ForwardedRequest, PeerStatus, FORWARD_PATH, STATUS_PATH};
 use crate::net::{Action, Event, Listener, Outcome, Request};
 use crate::rate_limit::TokenBucket;
-use crate::replica::{Replica, LEADER_KEY, LEASE_KEY};
+use crate::replica::Replica;
 use crate::scheduler::{Scheduler, Term};
 use crate::settings::{OperatorSettings, Settings};
 use crate::wire::{self, MachineType};
@@ -40,6 +42,7 @@
 
 use calls::PendingCall;
 use dependencies::DependencyLookups;
+use duties::{DutyState, DutyWrite};
 use format_version::FormatState;
 use held_checkins::HeldCheckIns;
 use list_reader::MachineListReader;
@@ -73,6 +76,8 @@
     User(u64),
     /// That this controller runs this version, or that all do.
     FormatVersion,
+    /// A duty's.
+    Duty(Box<DutyWrite>),
     /// The scheduler's.
     Job {
         id: String,
@@ -123,6 +128,7 @@
     /// The scheduling state, if this controller leads.
     pub scheduler: Option<Scheduler>,
     format_state: FormatState,
+    duties: DutyState,
     lookups: DependencyLookups,
     /// Cancellations that users were told of here, and when.
     told_cancelled: BTreeMap<String, u64>,
@@ -175,6 +181,7 @@
             pending_term: None,
             scheduler: None,
             format_state: FormatState::default(),
+            duties: DutyState::new(&settings.member, cluster, operator.duties.as_ref()),
             lookups: DependencyLookups::default(),
             told_cancelled: BTreeMap::new(),
             machine_types: Arc::new(vec![]),
@@ -290,6 +297,7 @@
         self.machine_types_tick();
         self.peers_tick();
         self.scheduler_tick();
+        self.duties_tick();
         self.machine_list_tick();
         self.users_tick();
         self.flush();
@@ -328,6 +336,7 @@
                 self.carry_out(effect);
             }
         }
+        self.duties_flush();
         self.watch_tick();
         self.send_writes();
     }
@@ -404,6 +413,7 @@
         match owner {
             WriteOwner::User(user) => self.on_user_commit(user, &result),
             WriteOwner::FormatVersion => {}
+            WriteOwner::Duty(write) => self.on_duty_commit(*write, &result),
             WriteOwner::Job {
                 id,
                 change,
@@ -419,19 +429,23 @@
                     return;
                 };
                 scheduler.on_commit(&id, change, final_state, &result, now);
-                if let CommitResult::Conflict { failed, .. } = &result {
-                    if failed
-                        .iter()
-                        .any(|key| key == LEADER_KEY || key == LEASE_KEY)
-                    {
-                        self.lease.resign(now, 0);
-                        self.step_down("a change failed on the leader key");
-                    }
-                }
+                self.step_down_if_deposed(&result);
             }
         }
     }
 
+    /// A change of the leader's that failed on the leader key tells that another one leads.
+    fn step_down_if_deposed(&mut self, result: &CommitResult) {
+        let CommitResult::Conflict { failed, .. } = result else {
+            return;
+        };
+        let is_leader_key = |key: &String| key == LEADER_KEY || key == LEASE_KEY;
+        if failed.iter().any(is_leader_key) {
+            self.lease.resign(self.now.steady, 0);
+            self.step_down("a change failed on the leader key");
+        }
+    }
+
     /// Notes that the state service has answered, or says that the limit is reached.
     fn note_state_outcome(&mut self, outcome: &Outcome) {
         match outcome {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -6,7 +6,6 @@
 
 use super::calls::{HttpCall, PendingCall};
 use super::Node;
-use crate::job::PACKED_FORMAT;
 use crate::mesh::{PeerStatus, STATUS_PATH};
 use crate::time_units::to_ms;
 
@@ -74,7 +73,7 @@
             redirected_workers: lately(&self.redirected_workers) as u32,
             process_age_ms: self.began_at.map_or(0, |at| now - at),
             told_cancelled: vec![],
-            known_format: PACKED_FORMAT,
+            known_format: self.known_format(),
         }
     }
 
--- a/src/node/planning.rs
+++ b/src/node/planning.rs
@@ -62,7 +62,11 @@
         self.stats.plan_ms += took_ms;
         self.plan_timer.in_progress = false;
         self.plan_timer.next_at = now.steady + (PAUSE_FACTOR * took_ms).max(GAP_MS);
-        let calls = self.cloud_requests.available(now.steady, RENT_RESERVE);
+        let calls = if self.are_duties_active() {
+            self.rentals_allowed()
+        } else {
+            self.cloud_requests.available(now.steady, RENT_RESERVE)
+        };
         if let Some(scheduler) = self.scheduler_of(epoch) {
             scheduler.apply_decision(decision, calls, now.steady, now.wall);
         }
--- a/src/node/replication.rs
+++ b/src/node/replication.rs
@@ -6,8 +6,10 @@
 use super::calls::{HttpCall, PendingCall, READ_TIMEOUT_MS, STATE_TIMEOUT_MS};
 use super::user_types::RequestStage;
 use super::{EventTime, Node};
+use crate::duties::DUTIES_PREFIX;
+use crate::leadership_keys::LEADERSHIP_PREFIX;
 use crate::net::Outcome;
-use crate::replica::{ReplicaChange, JOBS_PREFIX, LEADERSHIP_PREFIX, ROOT_PREFIX};
+use crate::replica::{ReplicaChange, JOBS_PREFIX, ROOT_PREFIX};
 use crate::wire;
 
 /// How long a watch waits for changes.
@@ -80,6 +82,13 @@
         self.call_state_service(PendingCall::LoadLeadership, call);
     }
 
+    fn load_duties(&mut self, from: Option<&str>) {
+        let from = from.map(|key| format!("&from={key}")).unwrap_or_default();
+        let path = format!("/kv?under={DUTIES_PREFIX}{from}&most={JOBS_PAGE}");
+        let call = HttpCall::get(path, STATE_TIMEOUT_MS);
+        self.call_state_service(PendingCall::LoadDuties, call);
+    }
+
     fn load_jobs(&mut self, from: Option<&str>) {
         let from = from.map(|key| format!("&from={key}")).unwrap_or_default();
         let path = format!("/kv?under={JOBS_PREFIX}{from}&most={JOBS_PAGE}");
@@ -95,7 +104,24 @@
         // Changes since then are told by the watch, those in later pages
         // a second time.
         self.replica.revision = page.revision;
-        self.load_jobs(None);
+        // Before that format nothing is on record of duties.
+        if self.are_duties_active() {
+            self.load_duties(None);
+        } else {
+            self.load_jobs(None);
+        }
+    }
+
+    pub(super) fn on_duties_page(&mut self, outcome: &Outcome) {
+        let Some(page) = self.decode_page(outcome) else {
+            return;
+        };
+        self.replica.apply_page(&page);
+        let last = page.pairs.last().map(|pair| pair.key.as_str());
+        match last.filter(|_| page.truncated) {
+            Some(last) => self.load_duties(Some(last)),
+            None => self.load_jobs(None),
+        }
     }
 
     pub(super) fn on_jobs_page(&mut self, outcome: &Outcome) {
--- a/src/node/stats.rs
+++ b/src/node/stats.rs
@@ -50,7 +50,8 @@
             PendingCall::MachineTypes
             | PendingCall::MachineList { .. }
             | PendingCall::Rent { .. }
-            | PendingCall::Delete { .. } => &mut self.cloud_calls,
+            | PendingCall::Delete { .. }
+            | PendingCall::DutyOrder { .. } => &mut self.cloud_calls,
             _ => &mut self.state_calls,
         };
         *count += 1;
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -5,38 +5,24 @@
 use std::sync::Arc;
 
 use ciborium::Value;
-use serde::{Deserialize, Serialize};
 use tracing::error;
 
 use crate::dependencies::{DependencyEvent, DependencyGraph, DependencyState};
+use crate::duties::{DutyRecords, DUTIES_PREFIX};
 use crate::job::{FinalState, JobRecord};
-use crate::leader_lease::Fence;
+use crate::leadership_keys::{
+    read_number, Fence, LeaderKey, EPOCH_KEY, FORMAT_KEY, LEADER_KEY, LEASE_KEY, SUPERSEDED,
+};
 use crate::wire::{KeyChange, Page};
 
 /// All keys of this service.
 pub const ROOT_PREFIX: &str = "g/";
 /// Records of live jobs.
 pub const JOBS_PREFIX: &str = "g/j/";
-/// Leadership and versions.
-pub const LEADERSHIP_PREFIX: &str = "g/l/";
 /// How jobs ended. Not read at start, so that a start costs what is alive.
 const FINALS_PREFIX: &str = "g/f/";
 /// Controllers that have run this version, or a later one.
 const MEMBERS_PREFIX: &str = "g/l/m/";
-/// The format that all controllers know, a number that only rises. The version in
-/// production passes over what it does not know below [`LEADERSHIP_PREFIX`].
-pub const FORMAT_KEY: &str = "g/l/format";
-/// Held by the leader as long as its grant lives, before format 1. From then on it stays
-/// for good and names [`SUPERSEDED`].
-pub const LEADER_KEY: &str = "g/l/leader";
-/// Held by the leader as long as its grant lives, from format 1 on.
-pub const LEASE_KEY: &str = "g/l/lease";
-/// The last epoch that was used.
-pub const EPOCH_KEY: &str = "g/l/epoch";
-/// The leader that the version in production sees from format 1 on. It is never a member,
-/// so a controller that comes back with that version follows and can't be elected: it
-/// could not read the records.
-pub const SUPERSEDED: &str = "superseded by format 1";
 /// How many ended jobs are remembered; others are read again when asked for.
 const FINALS_MAX: usize = 50_000;
 
@@ -55,25 +41,6 @@
     format!("{FINALS_PREFIX}{id}")
 }
 
-/// The value of [`LEADER_KEY`] and [`LEASE_KEY`].
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LeaderKey {
-    /// The leader's name.
-    pub member: String,
-    /// The epoch of its leadership.
-    pub epoch: u64,
-}
-
-impl LeaderKey {
-    /// What [`LEADER_KEY`] holds from format 1 on.
-    pub fn superseded() -> LeaderKey {
-        LeaderKey {
-            member: SUPERSEDED.into(),
-            epoch: 0,
-        }
-    }
-}
-
 /// A live job as committed.
 #[derive(Debug, Clone)]
 pub struct LiveJob {
@@ -117,6 +84,8 @@
     pub format_version: u64,
     /// Controllers that have made themselves known as running this version.
     pub members: BTreeSet<String>,
+    /// What is on record of duties.
+    pub duties: DutyRecords,
     /// Which of the live jobs wait for which.
     pub dependencies: DependencyGraph,
     dependency_events: Vec<DependencyEvent>,
@@ -135,6 +104,7 @@
         self.lease_key = None;
         self.epoch = 0;
         self.epoch_version = 0;
+        self.duties.restart();
         self.dependencies = DependencyGraph::default();
         self.dependency_events.clear();
     }
@@ -220,6 +190,7 @@
             }
         }
         self.revision = self.revision.max(revision);
+        self.duties.read_up_to(self.revision);
         effects
     }
 
@@ -232,6 +203,8 @@
     ) {
         if let Some(id) = key.strip_prefix(JOBS_PREFIX) {
             self.apply_job(id, value, version, effects);
+        } else if key.starts_with(DUTIES_PREFIX) {
+            self.duties.apply_set(key, value, version);
         } else if let Some(id) = key.strip_prefix(FINALS_PREFIX) {
             if let Some(state) = FinalState::from_value(value) {
                 self.jobs.remove(id);
@@ -299,6 +272,8 @@
         if let Some(id) = key.strip_prefix(JOBS_PREFIX) {
             self.jobs.remove(id);
             effects.push(ReplicaChange::JobRemoved(id.to_string()));
+        } else if key.starts_with(DUTIES_PREFIX) {
+            self.duties.apply_delete(key, version);
         } else if let Some(known) = self.leadership_key(key) {
             // An own election may be ahead of the watch, which tells of the
             // old key's end only now.
@@ -350,8 +325,3 @@
         _ => DependencyState::Unknown,
     }
 }
-
-fn read_number(value: &Value) -> Option<u64> {
-    let integer = value.as_integer()?;
-    u64::try_from(i128::from(integer)).ok()
-}
--- a/src/scheduler/machine_list.rs
+++ b/src/scheduler/machine_list.rs
@@ -86,6 +86,7 @@
 
     fn remove_machine(&mut self, name: &str, now: u64) {
         self.deleted_machines.insert(name.to_string(), now);
+        self.recorded_returns.remove(name);
         self.direct_commands.remove(name);
         self.startable.remove(name);
         let Some(machine) = self.machines.get_mut(name) else {
--- a/src/scheduler/machine_views.rs
+++ b/src/scheduler/machine_views.rs
@@ -21,6 +21,7 @@
         let came_at = machine.checked_in_at.or(machine.up_since).unwrap_or(0);
         machine.is_retained()
             && !machine.is_dead()
+            && !self.recorded_returns.contains(&*machine.name)
             && machine.last_report_at.is_some()
             && machine.epoch >= self.term.epoch
             && machine.ineffective_answers == 0
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -39,7 +39,7 @@
 use crate::replica::Replica;
 use crate::settings::{ClusterSettings, OperatorSettings, StateLimits};
 use crate::time_units::to_ms;
-use crate::wire::{Command, MachineType};
+use crate::wire::{Command, Condition, MachineType};
 use arrivals::ArrivalRate;
 use dependency_links::DependencyLinks;
 use rentals::Rentals;
@@ -125,6 +125,8 @@
     returned_unreachable: bool,
     /// Workers that other controllers redirected lately, if most of them are heard.
     redirected_elsewhere: Option<u32>,
+    /// Machines that are on record with the holder of that duty to be returned.
+    recorded_returns: BTreeSet<String>,
     /// When any machine reported something new.
     last_report_at: u64,
     /// When this controller was last seconds behind with reading what comes in.
@@ -173,6 +175,7 @@
             next_upkeep_at: 0,
             returned_unreachable: false,
             redirected_elsewhere: None,
+            recorded_returns: BTreeSet::new(),
             last_report_at: 0,
             lagging_at: None,
             overloaded_at: None,
@@ -191,6 +194,11 @@
         self.term.epoch
     }
 
+    /// The condition of each of the leader's changes: the leader key is ours.
+    pub fn term_condition(&self) -> Condition {
+        Condition::new(self.term.key, self.term.key_version)
+    }
+
     /// What was looked at since the term began.
     pub fn work_counts(&self) -> WorkCounts {
         self.work
--- a/src/scheduler/records.rs
+++ b/src/scheduler/records.rs
@@ -204,14 +204,12 @@
     }
 
     fn write_record(&mut self, id: &str) {
+        let term_condition = self.term_condition();
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
         let final_state = job.final_state();
-        let conditions = vec![
-            Condition::new(self.term.key, self.term.key_version),
-            Condition::new(job_key(id), job.key_version),
-        ];
+        let conditions = vec![term_condition, Condition::new(job_key(id), job.key_version)];
         let writes = match final_state {
             Some(state) => vec![
                 Write::delete(job_key(id)),
--- a/src/scheduler/rentals.rs
+++ b/src/scheduler/rentals.rs
@@ -40,6 +40,8 @@
     Refused,
     /// Nothing is known, or the cloud is in trouble.
     Failed,
+    /// It was never sent, and will not be.
+    Withdrawn,
 }
 
 /// Rentals that were decided on, and kinds that are sold out.
@@ -75,6 +77,20 @@
         self.blocked_until.contains_key(kind)
     }
 
+    /// Adds a rental that is in progress.
+    fn adopt(&mut self, booking: &str, kind: MachineKind, count: u64, now: u64) {
+        if self.position(booking).is_none() {
+            self.open.push(Rental {
+                booking: booking.to_string(),
+                kind,
+                count,
+                next_try_at: now,
+                in_flight: true,
+                tries: 0,
+            });
+        }
+    }
+
     fn position(&self, booking: &str) -> Option<usize> {
         self.open.iter().position(|r| r.booking == booking)
     }
@@ -111,6 +127,10 @@
                 self.block_kind(&rental.kind, now);
                 self.dirty = true;
             }
+            RentalOutcome::Withdrawn => {
+                self.rentals.open.remove(index);
+                self.dirty = true;
+            }
             RentalOutcome::Failed => {
                 let rental = &mut self.rentals.open[index];
                 rental.in_flight = false;
@@ -124,6 +144,12 @@
         }
     }
 
+    /// A rental is on record with the holder of that duty, whoever needed it: its machines
+    /// come.
+    pub fn adopt_rental(&mut self, booking: &str, kind: MachineKind, count: u64, now: u64) {
+        self.rentals.adopt(booking, kind, count, now);
+    }
+
     fn add_rented(&mut self, rental: &Rental, names: Vec<String>, now: u64) {
         let kind = &rental.kind;
         info!("rented {kind:?} {}: {names:?}", rental.booking);
--- a/src/scheduler/returns.rs
+++ b/src/scheduler/returns.rs
@@ -8,7 +8,7 @@
 use super::job_state::StartDelivery;
 use super::upkeep::Reachability;
 use super::{to_ms, Effect, Scheduler};
-use crate::machine::{CloudStatus, Machine, ReturnReason};
+use crate::machine::{CloudStatus, Machine, ReturnGroup, ReturnReason};
 
 /// Check-ins in a row that show no effect of the answers, after which a machine counts as
 /// out of reach.
@@ -67,6 +67,7 @@
     /// drained or idle.
     pub(super) fn return_machines(&mut self, now: u64) {
         let cut_off = self.is_cut_off(now);
+        self.drain_recorded_returns();
         for machine in self.machines.values_mut() {
             machine.update_idle(self.term.epoch, now);
         }
@@ -95,6 +96,43 @@
         }
     }
 
+    /// Machines are on record to be returned: they get no work from here on, under this
+    /// leader and those after it.
+    pub fn on_return_recorded(&mut self, machines: &[String]) {
+        self.recorded_returns.extend(machines.iter().cloned());
+        self.drain_recorded_returns();
+    }
+
+    fn drain_recorded_returns(&mut self) {
+        for name in &self.recorded_returns {
+            if let Some(machine) = self.machines.get_mut(name) {
+                if machine.return_reason.is_none() {
+                    machine.return_reason = Some(ReturnReason::OnRecord);
+                    self.dirty = true;
+                }
+            }
+        }
+    }
+
+    /// Machines are not returned after all: those that were idle may have work again.
+    pub fn on_return_refused(&mut self, machines: &[String]) {
+        for name in machines {
+            self.recorded_returns.remove(name);
+            let Some(machine) = self.machines.get_mut(name) else {
+                continue;
+            };
+            let group = machine.return_reason.map(ReturnReason::group);
+            if group == Some(ReturnGroup::Idle) {
+                machine.return_reason = None;
+                machine.delete_sent_at = None;
+                machine.next_delete_at = 0;
+                machine.idle_since = None;
+                machine.view = None;
+                self.dirty = true;
+            }
+        }
+    }
+
     /// After this silence machines count as lost. A leader that does not keep up gives
     /// them their whole lease.
     fn lost_ms(&self, now: u64) -> u64 {
@@ -216,9 +254,12 @@
             return false;
         };
         if machine.return_reason.is_none() {
-            machine.return_reason = Some(reason);
             self.dirty = true;
         }
+        // One that was drained and is lost meanwhile is not waited for any more.
+        if machine.return_reason.is_none() || reason.group() == ReturnGroup::Lost {
+            machine.return_reason = Some(reason);
+        }
         if now < machine.next_delete_at {
             return false;
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,8 @@
 //! What the platform hands over (JSON, unknown fields ignored) and what the
 //! operators may set themselves (TOML, unknown keys refused).
 
+mod duties;
+
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -8,11 +10,16 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+pub use duties::{DutyFence, DutySettings};
+
 /// What a value must be able to hold under limits to come, in KiB: a record's fields and a
 /// few dozen of its tasks' places.
 const VALUE_KB_MIN: f64 = 1.0;
 /// Changes of the largest transaction that can't be divided, the end of a job.
 const TXN_OPS_MIN: usize = 2;
+/// Processor time that may be asked for at once, as after a takeover, in seconds of a whole
+/// core.
+const STALL_CORE_S: f64 = 0.2;
 /// Fewest sockets.
 const FD_LIMIT_MIN: usize = 32;
 
@@ -279,6 +286,8 @@
     pub ordinary_price_ratio: f64,
     /// Longest backoff of a gang that found no room, in seconds.
     pub backoff_max_s: f64,
+    /// Duties that this controller may hold; without them it holds none.
+    pub duties: Option<DutySettings>,
 }
 
 impl Default for OperatorSettings {
@@ -293,6 +302,7 @@
             ordinary_wait_boots: 2.5,
             ordinary_price_ratio: 4.0,
             backoff_max_s: 10.0,
+            duties: None,
         }
     }
 }
@@ -320,6 +330,12 @@
 }
 
 impl ProcessLimits {
+    /// How long a process may stand still as it takes over, in seconds: its leases have to
+    /// outlast that.
+    pub fn stall_s(&self) -> f64 {
+        STALL_CORE_S / self.cpu_share
+    }
+
     /// A part of the memory, in bytes.
     pub fn memory_part(&self, share: f64) -> usize {
         (self.ram_mb * 1024.0 * 1024.0 * share) as usize
@@ -391,6 +407,12 @@
         Ok(settings)
     }
 
+    /// Checks what depends on the platform's settings.
+    pub fn check_against(&self, settings: &Settings) -> Result<(), SettingsError> {
+        let duties = self.duties.as_ref();
+        duties.map_or(Ok(()), |duties| duties.check(settings))
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         check_positive("leader_life_share", self.leader_life_share)?;
         check_positive("silent_reports", self.silent_reports)?;
--- a/src/wire/cloud.rs
+++ b/src/wire/cloud.rs
@@ -5,6 +5,11 @@
 use super::{number, optional_number};
 use crate::machine::CloudStatus;
 
+/// Where rentals go.
+pub const RENT_PATH: &str = "/machines";
+/// Where deletions go.
+pub const DELETE_PATH: &str = "/machines/delete";
+
 /// All machine types of the cloud.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct MachineTypes {
@@ -65,9 +70,33 @@
     /// How many machines at most.
     #[serde(rename = "howMany")]
     pub count: u64,
+    /// For a provider that refuses lower tokens.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fencing: Option<FencingToken>,
+}
+
+/// A request to delete machines.
+#[derive(Serialize)]
+pub struct DeleteRequest<'a> {
+    /// Their names.
+    #[serde(rename = "hosts")]
+    pub names: &'a [String],
+    /// For a provider that refuses lower tokens.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fencing: Option<FencingToken>,
+}
+
+/// The token under which an order is given, which the published protocol does not have: a
+/// provider that knows it refuses an order of the same duty with a lower one (409).
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct FencingToken {
+    /// The duty.
+    pub duty: &'static str,
+    /// Its holder's token.
+    pub token: u64,
 }
 
-/// Machines that were rented or are to be deleted.
+/// Machines that were rented.
 #[derive(Serialize, Deserialize)]
 pub struct MachineNames {
     /// Their names.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,8 +8,8 @@
 mod workers;
 
 pub use cloud::{
-    cloud_status, is_no_capacity, ListedMachine, MachineList, MachineNames, MachineType,
-    MachineTypes, RentRequest,
+    cloud_status, is_no_capacity, DeleteRequest, FencingToken, ListedMachine, MachineList,
+    MachineNames, MachineType, MachineTypes, RentRequest, DELETE_PATH, RENT_PATH,
 };
 pub use state_service::{
     final_state_reply, Condition, Grant, GrantRequest, KeyChange, KeyValue, Page, Transaction,
--- a/src/wire/state_service.rs
+++ b/src/wire/state_service.rs
@@ -5,7 +5,7 @@
 
 use super::decode;
 use crate::job::FinalState;
-use crate::replica::LeaderKey;
+use crate::leadership_keys::LeaderKey;
 
 /// A key with its value.
 #[derive(Debug, Deserialize)]
@@ -80,12 +80,24 @@
         }
     }
 
+    /// Sets a key to a record.
+    pub fn serialized<T: Serialize>(key: String, record: &T) -> Write {
+        Write::set(key, Value::serialized(record).unwrap_or(Value::Null))
+    }
+
+    /// The same for a key that lives as long as a grant.
+    pub fn attached_to(self, grant: u64) -> Write {
+        Write {
+            grant: Some(grant),
+            ..self
+        }
+    }
+
     /// Says who leads, for as long as the grant lives if there is one.
     pub fn leader(key: &str, leader: &LeaderKey, grant: Option<u64>) -> Write {
-        let value = Value::serialized(leader).unwrap_or(Value::Null);
         Write {
             grant,
-            ..Write::set(key.into(), value)
+            ..Write::serialized(key.into(), leader)
         }
     }
 
--- a/src/write_queue.rs
+++ b/src/write_queue.rs
@@ -27,6 +27,8 @@
     User,
     /// The leader's changes.
     Leader,
+    /// Records of duties: only what the others leave.
+    Duty,
 }
 
 /// What became of a request.
@@ -243,7 +245,11 @@
 
     fn next_batch(&mut self, now: u64) -> Batch<W> {
         let mut batch = Batch::new();
+        let mut others_wait = false;
         for (class, queue) in self.waiting.iter_mut() {
+            if *class == WriteClass::Duty && others_wait {
+                break;
+            }
             while let Some(queued) = queue.front() {
                 if !batch.admits(queued, self.writes_max) {
                     break;
@@ -264,6 +270,7 @@
                 };
                 batch.push(queued);
             }
+            others_wait |= !queue.is_empty();
         }
         batch
     }
--- a/tests/parts/leader_lease.rs
+++ b/tests/parts/leader_lease.rs
@@ -1,9 +1,8 @@
 //! The leader lease.
 
-use gaugesill::leader_lease::{
-    lease_life_ms, Election, Fence, LeaderLease, LeaseRequest, LeaseResponse,
-};
-use gaugesill::replica::{LeaderKey, Replica};
+use gaugesill::leader_lease::{lease_life_ms, Election, LeaderLease, LeaseRequest, LeaseResponse};
+use gaugesill::leadership_keys::{Fence, LeaderKey};
+use gaugesill::replica::Replica;
 use gaugesill::settings::OperatorSettings;
 
 #[test]
--- a/tests/parts/replica.rs
+++ b/tests/parts/replica.rs
@@ -2,7 +2,8 @@
 
 use crate::support::*;
 use gaugesill::job::{FinalState, JobRecord, Priority, Shape};
-use gaugesill::replica::{LeaderKey, Replica, ReplicaChange, LEADER_KEY};
+use gaugesill::leadership_keys::{LeaderKey, LEADER_KEY};
+use gaugesill::replica::{Replica, ReplicaChange};
 use gaugesill::wire::KeyChange;
 
 /// An own election is known before the watch tells that the old key is gone:
--- a/tests/parts/support.rs
+++ b/tests/parts/support.rs
@@ -165,7 +165,7 @@
     let term = Term {
         member: "c0".into(),
         epoch,
-        key: gaugesill::replica::LEADER_KEY,
+        key: gaugesill::leadership_keys::LEADER_KEY,
         key_version: 3,
         began_wall_ms: 1_000_000,
     };
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -410,7 +410,7 @@
         Term {
             member: "c0".into(),
             epoch: 2,
-            key: gaugesill::replica::LEADER_KEY,
+            key: gaugesill::leadership_keys::LEADER_KEY,
             key_version: 3,
             began_wall_ms: 1_000_000,
         },
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -351,7 +351,7 @@
         let lease = w.state.keys.get("g/l/lease");
         let lease = lease.or(w.state.keys.get("g/l/leader"));
         let v = lease.expect("a leader").0.clone();
-        let k: gaugesill::replica::LeaderKey = v.deserialized().expect("a leader key");
+        let k: gaugesill::leadership_keys::LeaderKey = v.deserialized().expect("a leader key");
         k.member[1..].parse::<usize>().expect("a number")
     };
     let _ = nodes.0[leader].kill();
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -8,10 +8,11 @@
 use ciborium::Value;
 use common::{kept, submission, Low, OldRecord, Sim};
 use gaugesill::job::{json_length, FinalState, JobRecord, Shape, TaskRun, TaskSet};
+use gaugesill::leadership_keys::LeaderKey;
 use gaugesill::mesh::{ForwardedReply, ForwardedRequest, PeerStatus};
 use gaugesill::packed_record;
 use gaugesill::plan::{Decision, PlannedPlacement};
-use gaugesill::replica::{LeaderKey, LiveJob, Replica};
+use gaugesill::replica::{LiveJob, Replica};
 use gaugesill::scheduler::{Effect, ReportOrigin, Scheduler, Term};
 use gaugesill::settings::{ClusterSettings, OperatorSettings, Settings};
 use gaugesill::wire::{self, KeyChange};
@@ -633,7 +634,7 @@
     let term = Term {
         member: "c0".into(),
         epoch: 2,
-        key: gaugesill::replica::LEADER_KEY,
+        key: gaugesill::leadership_keys::LEADER_KEY,
         key_version: 3,
         began_wall_ms: 1_000_000,
     };
