Duties shown by whole controllers that fail: pauses, crashes, cuts, late orders

Need: the service's part in duties was not shown by anything.

Change: tests/duties.rs runs three controllers on the stand-ins with deploy/duties.toml; tests/common/duties.rs holds the cloud's tokens, late and lost orders, and a checker of the whole history (tokens rise, orders by the holder alone, no machine with a task returned, each need met once, no machine without owner). Found and mended by them: a controller stood for all duties before it knew who else was there; two orders that return one machine were indexed as one; a refusal whose answer came after the lease was lost was not noted.

--- a/src/duties/records.rs
+++ b/src/duties/records.rs
@@ -7,7 +7,7 @@
 //!
 //! All keys are below [`DUTIES_PREFIX`], which earlier versions pass over.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use ciborium::Value;
 use duty_lease::{Duty, HolderKey, Intent, LeaseView, Need, Order, OrderId, OrderResult, Token};
@@ -140,8 +140,9 @@
     orders: BTreeMap<OrderKey, StoredOrder>,
     /// Own removals that the watch has not told of yet, with their revisions.
     removed: BTreeMap<OrderKey, u64>,
-    /// The order that returns a machine.
-    returns: HashMap<String, OrderKey>,
+    /// The open orders that return a machine: mostly one, two if the leader learnt late
+    /// that the first was written.
+    returns: HashMap<String, BTreeSet<OrderKey>>,
     /// Keys that can't be read, with their versions.
     unreadable: BTreeMap<String, u64>,
     changes: Vec<OrderChange>,
@@ -350,14 +351,18 @@
             return self.forget_returns(key, record);
         }
         for machine in record.returned_machines() {
-            self.returns.insert(machine.clone(), key.clone());
+            let orders = self.returns.entry(machine.clone()).or_default();
+            orders.insert(key.clone());
         }
     }
 
     fn forget_returns(&mut self, key: &OrderKey, record: &OrderRecord) {
         for machine in record.returned_machines() {
-            // Another order may have taken it over in the same transaction.
-            if self.returns.get(machine) == Some(key) {
+            let Some(orders) = self.returns.get_mut(machine) else {
+                continue;
+            };
+            orders.remove(key);
+            if orders.is_empty() {
                 self.returns.remove(machine);
             }
         }
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use duty_lease::{Duty, OrderId};
+use duty_lease::Duty;
 use prost::Message;
 use tracing::warn;
 
+use super::duties::SentOrder;
 use super::{EventTime, Node};
 use crate::leader_lease::LeaseRequest;
 use crate::mesh::{ForwardedReply, PeerStatus};
@@ -45,7 +46,7 @@
         request: duty_lease::LeaseRequest,
     },
     /// An order of a duty's holder.
-    DutyOrder { id: OrderId, is_rental: bool },
+    DutyOrder(SentOrder),
     /// How a job ended that a user asks about.
     ReadFinal { user: u64 },
     /// The record of a job that a submission names, or how it ended.
@@ -215,9 +216,7 @@
             PendingCall::DutyLease { duty, id, request } => {
                 self.on_duty_lease_outcome(duty, id, &request, &outcome);
             }
-            PendingCall::DutyOrder { id, is_rental } => {
-                self.on_duty_order_reply(id, is_rental, &outcome);
-            }
+            PendingCall::DutyOrder(sent) => self.on_duty_order_reply(sent, &outcome),
             PendingCall::ReadFinal { user } => self.on_final_read(user, &outcome),
             PendingCall::ReadDependency {
                 user,
--- a/src/node/duties/mod.rs
+++ b/src/node/duties/mod.rs
@@ -26,6 +26,7 @@
 use super::WriteOwner;
 use cleaning::Cleaning;
 use needs::LeaderNeeds;
+pub(super) use orders::SentOrder;
 use placement::Placement;
 
 /// Shares of the limit of calls to the cloud, once orders and the list are asked for by
@@ -109,8 +110,14 @@
     pub fn new(member: &str, cluster: &ClusterSettings, settings: Option<&DutySettings>) -> Self {
         let control = settings.map(|settings| {
             let timing = settings.timing(cluster.workers.lease_s);
+            let lease = || {
+                let mut lease = DutyLease::new(member, timing);
+                // Until it is known who else is there.
+                lease.set_wanted(false);
+                lease
+            };
             let part = |duty| DutyPart {
-                lease: DutyLease::new(member, timing),
+                lease: lease(),
                 orders: OrderBook::new(duty, timing),
                 lease_generation: None,
                 orders_generation: None,
--- a/src/node/duties/orders.rs
+++ b/src/node/duties/orders.rs
@@ -21,6 +21,15 @@
     format!("{}.{}.{}", id.duty.name(), id.token, id.sequence)
 }
 
+/// An order that went to the cloud.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::node) struct SentOrder {
+    id: OrderId,
+    /// The sender's token.
+    token: Token,
+    is_rental: bool,
+}
+
 impl Node {
     /// Takes a holder's orders further.
     pub(super) fn run_orders(&mut self, duty: Duty) {
@@ -151,16 +160,17 @@
             }
         };
         let is_rental = matches!(order, Order::Rent { .. });
-        self.call_cloud(PendingCall::DutyOrder { id, is_rental }, call);
+        let sent = SentOrder {
+            id,
+            token,
+            is_rental,
+        };
+        self.call_cloud(PendingCall::DutyOrder(sent), call);
     }
 
     /// The cloud has answered an order, or there was no answer.
-    pub(in crate::node) fn on_duty_order_reply(
-        &mut self,
-        id: OrderId,
-        is_rental: bool,
-        outcome: &Outcome,
-    ) {
+    pub(in crate::node) fn on_duty_order_reply(&mut self, sent: SentOrder, outcome: &Outcome) {
+        let SentOrder { id, is_rental, .. } = sent;
         let order_outcome = match outcome {
             Outcome::Answer { status: 200, body } if is_rental => {
                 let machines = wire::decode::<wire::MachineNames>(body);
@@ -169,7 +179,10 @@
                 })
             }
             Outcome::Answer { status: 200, .. } => OrderOutcome::Done(OrderResult::Deleted),
-            Outcome::Answer { status: 409, .. } => OrderOutcome::Fenced,
+            Outcome::Answer { status: 409, .. } => {
+                self.note_refusal(sent);
+                OrderOutcome::Fenced
+            }
             Outcome::Answer { status: 503, body } if wire::is_no_capacity(body) => {
                 OrderOutcome::Done(OrderResult::NoCapacity)
             }
@@ -191,17 +204,15 @@
         let Some(part) = self.duties.part(id.duty) else {
             return;
         };
-        let token = part.lease.token();
-        if !part.orders.on_sent(id, outcome, now) {
-            return;
+        if part.orders.on_sent(id, outcome, now) {
+            part.lease.on_fenced(now);
+            self.pass_lease_events(id.duty);
         }
-        part.lease.on_fenced(now);
-        self.pass_lease_events(id.duty);
-        self.note_refusal(id, token.unwrap_or(id.token));
     }
 
     /// Leaves on record that the provider refused an order, for operators.
-    fn note_refusal(&mut self, id: OrderId, token: Token) {
+    fn note_refusal(&mut self, sent: SentOrder) {
+        let SentOrder { id, token, .. } = sent;
         let member = self.settings.member.clone();
         warn!(duty = id.duty.name(), token, member, order = %id, "refused: a higher token was seen");
         let refusal = RefusalRecord {
--- a/src/node/stats.rs
+++ b/src/node/stats.rs
@@ -51,7 +51,7 @@
             | PendingCall::MachineList { .. }
             | PendingCall::Rent { .. }
             | PendingCall::Delete { .. }
-            | PendingCall::DutyOrder { .. } => &mut self.cloud_calls,
+            | PendingCall::DutyOrder(_) => &mut self.cloud_calls,
             _ => &mut self.state_calls,
         };
         *count += 1;
--- a/tests/common/cloud.rs
+++ b/tests/common/cloud.rs
@@ -26,6 +26,9 @@
     pub pages_read: u64,
     /// What is wrong with pages behind the first.
     pub list_fault: Option<ListFault>,
+    /// It refuses an order with a lower token than it has seen for the same duty.
+    pub checks_tokens: bool,
+    pub(super) highest_tokens: HashMap<String, u64>,
 }
 
 /// What can be wrong with a list of several pages.
--- a/tests/common/delivery.rs
+++ b/tests/common/delivery.rs
@@ -21,11 +21,7 @@
                 method,
                 path,
                 body,
-            } => {
-                let (status, body) = self.cloud.handle(method, &path, &body, self.now);
-                let outcome = Outcome::Answer { status, body };
-                self.respond(100, ticket, outcome);
-            }
+            } => self.deliver_to_cloud(ticket, method, path, body),
             Msg::Worker {
                 ticket,
                 machine,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,6 +9,7 @@
 mod checks;
 mod cloud;
 mod delivery;
+mod duties;
 mod faults;
 mod fleet;
 mod messages;
@@ -23,6 +24,7 @@
 
 pub use checks::kept;
 pub use cloud::{addr_of, Cloud, ListFault, Rented};
+pub use duties::{CloudOrders, DutyEvent};
 pub use fleet::{jobs_for, RunTimes};
 pub use messages::{Job, UserAnswer, Writes};
 pub use meter::{Meter, Spent};
--- a/tests/common/sim.rs
+++ b/tests/common/sim.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use super::cloud::*;
+use super::duties::*;
 use super::messages::*;
 use super::meter::*;
 use super::settings::*;
@@ -108,6 +109,22 @@
     pub too_large: u64,
     /// What the controllers' work costs, if that is measured.
     pub meter: Option<Meter>,
+    /// The operators' settings of controllers that begin from now on.
+    pub operator: OperatorSettings,
+    /// Controllers that begin without the operators' settings.
+    pub without_duties: HashSet<usize>,
+    /// By how much controllers' steady clocks have leapt, in milliseconds.
+    pub clock_leaps: HashMap<usize, i64>,
+    /// Controllers whose steady clocks stand still, and at what.
+    pub stopped_clocks: HashMap<usize, u64>,
+    /// Controllers that stand still, for so long, once they have decided on an order to the
+    /// cloud: it goes out afterwards.
+    pub still_on_order: HashMap<usize, u64>,
+    /// What becomes of orders to the cloud.
+    pub orders: CloudOrders,
+    pub(super) late_orders: Vec<(u64, Msg)>,
+    /// What the cloud was asked to do, and what controllers decided on.
+    pub duty_history: Vec<DutyEvent>,
 }
 
 impl Sim {
@@ -180,6 +197,14 @@
             reply_max: usize::MAX,
             too_large: 0,
             meter: None,
+            operator: OperatorSettings::default(),
+            without_duties: HashSet::new(),
+            clock_leaps: HashMap::new(),
+            stopped_clocks: HashMap::new(),
+            still_on_order: HashMap::new(),
+            orders: CloudOrders::Answered,
+            late_orders: vec![],
+            duty_history: vec![],
         };
         s.run(1);
         s
@@ -199,8 +224,11 @@
 
     pub(super) fn clock(&self, node: usize) -> Timestamp {
         let fast = self.fast.get(&node).copied().unwrap_or(0);
+        let leap = self.clock_leaps.get(&node).copied().unwrap_or(0);
+        let steady = (self.now + self.now * fast / 10_000).saturating_add_signed(leap);
+        let stopped_at = self.stopped_clocks.get(&node).copied();
         Timestamp {
-            steady: self.now + self.now * fast / 10_000,
+            steady: stopped_at.unwrap_or(steady),
             wall: 1_000_000 + self.now,
         }
     }
@@ -287,7 +315,9 @@
             if actions.is_empty() {
                 return;
             }
-            if let Some(ms) = self.still_next.remove(&node) {
+            let orders = actions.iter().any(is_cloud_order);
+            let on_order = orders.then(|| self.still_on_order.remove(&node)).flatten();
+            if let Some(ms) = self.still_next.remove(&node).or(on_order) {
                 self.still.insert(node, self.now + ms);
                 self.note(format!("c{node} stands still"));
                 let life = self.lives[node];
@@ -296,6 +326,7 @@
                 return;
             }
             for a in actions {
+                self.note_decision(node, &a);
                 self.act(node, a);
             }
         }
@@ -411,12 +442,14 @@
                 self.back_at[i] = None;
                 let seed = 10 * self.lives[i] + i as u64;
                 let set = settings_with(i, &self.team, &self.next, &self.grants);
-                self.nodes[i] = Some(Node::new(set, OperatorSettings::default(), seed));
+                let operator = self.operator_of(i);
+                self.nodes[i] = Some(Node::new(set, operator, seed));
             }
         }
         self.thaw();
         self.wake_machines();
         self.late_writes();
+        self.carry_out_late_orders();
         self.next_leaders_copies();
         while let Some(e) = self.wire.first_entry() {
             if e.key().0 > self.now {
