Records of duties have writes of their own; needs wait for the records they are checked by

The leader's job records took all of its changes, and its needs waited for minutes: from second 30 to 340 nothing was rented. Besides, drained machines were refused by their holder, as the leader needs their return before the end of their last task is on record; and in an outage of the state service all duties were given up.

Change: changes of duties' records have a rate limit of their own (0.08 of the state service's changes for each controller) beside what job records leave; an order that brought nothing is told by the removal of its record; the leader needs the return of a drained machine only once no record names it; who can't read the state service leaves its duties as they are.

--- a/src/node/duties/mod.rs
+++ b/src/node/duties/mod.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 
 use duty_lease::{Duty, DutyLease, LeaseTiming, OrderBook, OrderId};
+use tracing::debug;
 
 use super::Node;
 use crate::duties::{holder_key, order_key, OrderKey, OrderRecord, DUTIES_FORMAT};
@@ -248,6 +249,9 @@
                 duties.apply_own(key, record.clone(), *revision);
             }
         }
+        if let CommitResult::Conflict { failed, .. } = result {
+            debug!("failed on {failed:?}: {write:?}");
+        }
         match write.purpose {
             WritePurpose::Need { epoch } => self.on_need_written(epoch, &write.changes, result),
             WritePurpose::Record(id) => self.on_order_recorded(id, result),
--- a/src/node/duties/needs.rs
+++ b/src/node/duties/needs.rs
@@ -74,15 +74,27 @@
     /// The leader wants machines returned, those that are not on record for it yet.
     pub(in crate::node) fn need_returns(&mut self, machines: Vec<String>) {
         let mut groups: BTreeMap<ReturnGroup, Vec<String>> = BTreeMap::new();
+        let mut not_yet = Vec::new();
+        let occupied = self.occupied_machines();
         for name in machines {
             let is_known = self.replica.duties.is_returned(&name)
                 || self.duties.needs.pending_returns.contains(&name);
             let machine = self.scheduler.as_ref().and_then(|s| s.machines.get(&name));
             let reason = machine.and_then(|machine| machine.return_reason);
-            if let Some(reason) = reason.filter(|_| !is_known) {
+            let Some(reason) = reason.filter(|_| !is_known) else {
+                continue;
+            };
+            // That its last task has ended is written soon: its holder goes by the records.
+            if reason.group() != ReturnGroup::Lost && occupied.contains(&name) {
+                not_yet.push(name);
+            } else {
                 groups.entry(reason.group()).or_default().push(name);
             }
         }
+        let now = self.now.steady;
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.on_deletion_postponed(&not_yet, now);
+        }
         for (group, names) in groups {
             let part_max = self.return_part_max(&names);
             for part in names.chunks(part_max) {
@@ -262,8 +274,12 @@
         };
         let machines = before.returned_machines();
         match before.phase {
-            // A recorded deletion is removed by its completion only.
-            OrderPhase::Recorded(_) => scheduler.on_deleted(machines, true, now),
+            // A recorded order is removed by its completion only: a deletion was carried
+            // out, and of a rental there was none to be had.
+            OrderPhase::Recorded(_) => {
+                scheduler.on_rental(&change.key.need, RentalOutcome::Refused, now);
+                scheduler.on_deleted(machines, true, now);
+            }
             OrderPhase::Needed => {
                 scheduler.on_rental(&change.key.need, RentalOutcome::Withdrawn, now);
                 let is_open = |name: &&String| self.replica.duties.is_returned(name);
--- a/src/node/duties/orders.rs
+++ b/src/node/duties/orders.rs
@@ -1,5 +1,7 @@
 //! A holder's orders: recorded, sent to the cloud, completed.
 
+use std::collections::HashSet;
+
 use duty_lease::{
     Duty, Order, OrderId, OrderOutcome, OrderRequest, OrderResult, RecordOutcome, Token,
 };
@@ -60,7 +62,11 @@
         let intents = self.replica.duties.intents(duty);
         let mut needs = self.replica.duties.needs(duty);
         let all = needs.len();
-        let occupied = self.occupied_machines(&needs);
+        let occupied = if needs.is_empty() {
+            HashSet::new()
+        } else {
+            self.occupied_machines()
+        };
         needs.retain(|need| self.may_meet(need, &occupied));
         if let Some(part) = self.duties.part(duty) {
             if needs.len() < all {
@@ -88,7 +94,8 @@
                     need: intent.need,
                 };
                 let purpose = WritePurpose::Complete(intent.id);
-                if result == OrderResult::Deleted {
+                // Of these nothing but the end is to be told.
+                if matches!(result, OrderResult::Deleted | OrderResult::NoCapacity) {
                     let changes = vec![(key, None)];
                     self.write_as_holder(duty, DutyWrite { purpose, changes });
                 } else {
--- a/src/node/duties/placement.rs
+++ b/src/node/duties/placement.rs
@@ -28,6 +28,11 @@
     /// Decides which duties this controller stands for.
     pub(super) fn place_duties(&mut self) {
         let now = self.now.steady;
+        // Who can't read the state service neither renews nor releases: what it holds goes
+        // on, or ends by itself.
+        if !self.is_state_reachable() {
+            return;
+        }
         let live = self.duty_candidates();
         let present: BTreeMap<Duty, String> = Duty::ALL
             .into_iter()
@@ -68,10 +73,7 @@
 
     /// Controllers that can hold duties as far as is known here.
     fn duty_candidates(&self) -> Vec<String> {
-        let mut names = Vec::new();
-        if self.is_state_reachable() {
-            names.push(self.settings.member.clone());
-        }
+        let mut names = vec![self.settings.member.clone()];
         for peer in &self.settings.peers {
             let status = self.recent_status(&peer.member);
             let can_hold =
--- a/src/node/duties/reclaim.rs
+++ b/src/node/duties/reclaim.rs
@@ -24,7 +24,7 @@
         if needs.is_empty() || !self.may_order(duty) {
             return;
         }
-        let occupied = self.occupied_machines(&needs);
+        let occupied = self.occupied_machines();
         for need in needs {
             self.decide_need(duty, &need, &occupied);
         }
@@ -36,11 +36,8 @@
         part.is_some_and(|part| !part.deciding.iter().any(|key| key.need == need.id))
     }
 
-    /// Machines that have a task on record, if any of the needs asks for that.
-    pub(super) fn occupied_machines(&self, needs: &[Need]) -> HashSet<String> {
-        if !needs.iter().any(|need| is_conditional(&need.order)) {
-            return HashSet::new();
-        }
+    /// Machines that have a task on record.
+    pub(super) fn occupied_machines(&self) -> HashSet<String> {
         let jobs = self.replica.jobs.values();
         let runs = jobs.flat_map(|job| &job.record.runs);
         runs.map(|run| run.machine.to_string()).collect()
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -36,7 +36,7 @@
 use crate::rate_limit::TokenBucket;
 use crate::replica::Replica;
 use crate::scheduler::{Scheduler, Term};
-use crate::settings::{OperatorSettings, Settings};
+use crate::settings::{OperatorSettings, Settings, StateLimits};
 use crate::wire::{self, MachineType};
 use crate::write_queue::{CommitResult, WriteQueue};
 
@@ -103,6 +103,10 @@
 const FOLLOWER_REQUESTS: f64 = 0.7;
 const LEADER_WRITES: f64 = 0.75;
 const FOLLOWER_WRITES: f64 = 0.4;
+/// Each controller's share for records of duties, beside these: the other controllers'
+/// users rarely take all of theirs. A transaction of two changes fits in any case.
+const DUTY_WRITES: f64 = 0.08;
+const DUTY_WRITES_MIN: f64 = 2.0;
 
 /// One controller.
 pub struct Node {
@@ -165,6 +169,8 @@
         let follower_requests = state.rps / controllers * FOLLOWER_REQUESTS;
         let user_sockets = cluster.limits.fd_limit / SOCKETS_PER_USER;
         let peers = settings.peers.iter();
+        let mut writes = WriteQueue::new(follower_writes, follower_writes, state.txn_ops);
+        writes.set_duty_rate(0, duty_write_rate(state));
         Node {
             rng: StdRng::seed_from_u64(seed),
             now: Timestamp { steady: 0, wall: 0 },
@@ -176,7 +182,7 @@
             replica: Replica::default(),
             replication: Replication::default(),
             state_requests: TokenBucket::new(follower_requests),
-            writes: WriteQueue::new(follower_writes, follower_writes, state.txn_ops),
+            writes,
             lease: LeaderLease::new(&settings.member, life_ms, state.lowered().txn_ops),
             pending_term: None,
             scheduler: None,
@@ -236,6 +242,7 @@
         };
         self.state_requests.set_rate(now, requests);
         self.writes.set_rate(now, limits.write_rps * writes);
+        self.writes.set_duty_rate(now, duty_write_rate(&limits));
         self.writes.set_writes_max(limits.txn_ops);
     }
 
@@ -457,3 +464,8 @@
         }
     }
 }
+
+/// Changes of duties' records that a controller may make in a second.
+fn duty_write_rate(limits: &StateLimits) -> f64 {
+    (limits.write_rps * DUTY_WRITES).max(DUTY_WRITES_MIN)
+}
--- a/src/write_queue.rs
+++ b/src/write_queue.rs
@@ -27,7 +27,8 @@
     User,
     /// The leader's changes.
     Leader,
-    /// Records of duties: only what the others leave.
+    /// Records of duties. They have a rate limit of their own, so that they neither delay
+    /// the leader's changes nor starve under them.
     Duty,
 }
 
@@ -97,6 +98,8 @@
     limit: TokenBucket,
     /// The part of it that users' changes may take.
     user_limit: TokenBucket,
+    /// What records of duties may take beside it.
+    duty_limit: TokenBucket,
     stats: WriteStats,
 }
 
@@ -165,6 +168,7 @@
             writes_max,
             limit: TokenBucket::new(rate),
             user_limit: TokenBucket::new(user_rate),
+            duty_limit: TokenBucket::new(0.0),
             stats: WriteStats::default(),
         }
     }
@@ -192,6 +196,11 @@
         self.limit.set_rate(now, rate);
     }
 
+    /// Sets how many changes of duties' records may be made in a second.
+    pub fn set_duty_rate(&mut self, now: u64, rate: f64) {
+        self.duty_limit.set_rate(now, rate);
+    }
+
     /// Whether changes of this class wait for the rate limit.
     pub fn has_waiting(&self, class: WriteClass) -> bool {
         self.waiting
@@ -219,7 +228,10 @@
             return None;
         }
         // Asked before a transaction is put together, which costs far more.
-        if requests.available(now, 0.0) == 0 || self.limit.available(now, 0.0) == 0 {
+        let duties_wait = self.has_waiting(WriteClass::Duty);
+        let may_write = self.limit.available(now, 0.0) > 0
+            || (duties_wait && self.duty_limit.available(now, 0.0) > 0);
+        if requests.available(now, 0.0) == 0 || !may_write {
             return None;
         }
         let batch = self.next_batch(now);
@@ -227,7 +239,10 @@
             return None;
         }
         if !requests.try_take(now, 1.0, 0.0) {
-            self.limit.refund(batch.writes.len() as f64);
+            for queued in &batch.requests {
+                let writes = queued.request.writes.len() as f64;
+                self.limit_of(queued.request.class).refund(writes);
+            }
             self.put_back(batch.requests);
             return None;
         }
@@ -247,9 +262,6 @@
         let mut batch = Batch::new();
         let mut others_wait = false;
         for (class, queue) in self.waiting.iter_mut() {
-            if *class == WriteClass::Duty && others_wait {
-                break;
-            }
             while let Some(queued) = queue.front() {
                 if !batch.admits(queued, self.writes_max) {
                     break;
@@ -259,7 +271,16 @@
                 if by_user && !self.user_limit.try_take(now, writes, 0.0) {
                     break;
                 }
-                if !self.limit.try_take(now, writes, 0.0) {
+                let taken = match class {
+                    // What the others leave, too, as long as none of them waits.
+                    WriteClass::Duty if !others_wait => {
+                        self.duty_limit.try_take(now, writes, 0.0)
+                            || self.limit.try_take(now, writes, SPARE_RESERVE)
+                    }
+                    WriteClass::Duty => self.duty_limit.try_take(now, writes, 0.0),
+                    WriteClass::User | WriteClass::Leader => self.limit.try_take(now, writes, 0.0),
+                };
+                if !taken {
                     if by_user {
                         self.user_limit.refund(writes);
                     }
@@ -275,6 +296,13 @@
         batch
     }
 
+    fn limit_of(&mut self, class: WriteClass) -> &mut TokenBucket {
+        match class {
+            WriteClass::Duty => &mut self.duty_limit,
+            WriteClass::User | WriteClass::Leader => &mut self.limit,
+        }
+    }
+
     fn put_back(&mut self, requests: Vec<QueuedRequest<W>>) {
         for queued in requests.into_iter().rev() {
             let queue = self.waiting.entry(queued.request.class).or_default();
@@ -323,6 +351,7 @@
             Outcome::Answer { status: 429, .. } => {
                 self.stats.throttled += 1;
                 self.limit.drain();
+                self.duty_limit.drain();
                 CommitResult::Rejected
             }
             Outcome::Answer { .. } | Outcome::NotSent => CommitResult::Rejected,
