--- a/tests/common/duties.rs
+++ b/tests/common/duties.rs
@@ -165,6 +165,11 @@
         of_duty.filter(|(_, (value, ..))| is_in(value)).count()
     }
 
+    /// Changes of keys so far.
+    pub fn changes(&self) -> usize {
+        self.state.log.len()
+    }
+
     pub fn asked(&self, duty: &str) -> usize {
         let is_of = |e: &&DutyEvent| matches!(e, DutyEvent::Asked { duty: d, .. } if *d == duty);
         self.duty_history.iter().filter(is_of).count()
--- a/tests/common/state_service.rs
+++ b/tests/common/state_service.rs
@@ -11,6 +11,8 @@
     pub(super) log: Vec<KeyChange>,
     pub(super) grants: HashMap<u64, (u64, u64)>,
     pub(super) next_grant: u64,
+    /// How many requests came.
+    pub requests: u64,
     pub commits: Vec<String>,
     pub tells_format: bool,
     /// The limits that hold now, if they have fallen.
@@ -101,6 +103,7 @@
 
     pub fn handle(&mut self, method: &str, path: &str, body: &[u8], now: u64) -> Served {
         self.expire(now);
+        self.requests += 1;
         let bare = path.split('?').next().unwrap_or("");
         match (method, bare) {
             ("GET", "/watch") => {
--- a/tests/parts/write_queue.rs
+++ b/tests/parts/write_queue.rs
@@ -139,3 +139,42 @@
     let keys: Vec<&str> = t.writes.iter().filter_map(|w| w.set.as_deref()).collect();
     assert_eq!(keys, ["k10", "k11", "k12", "k0", "k1", "k2"]);
 }
+
+/// Found on lean aduana with duties on: the leader's job records took every change, and its
+/// needs waited for minutes. Records of duties have a rate of their own, and what the others
+/// leave while none of them waits; job records lose nothing by them.
+#[test]
+fn records_of_duties_neither_starve_nor_delay_others() {
+    let write = |owner: u32, class| WriteRequest {
+        owner,
+        conditions: vec![],
+        writes: vec![Write::set(format!("k{owner}"), Value::Null)],
+        class,
+    };
+    let count = |transaction: Option<wire::Transaction>, from: u32| {
+        let writes = transaction.map_or(vec![], |t| t.writes);
+        let number = |w: &Write| w.key()[1..].parse::<u32>().expect("a number");
+        let of_duties = writes.iter().filter(|w| number(w) >= from).count();
+        (writes.len() - of_duties, of_duties)
+    };
+    let mut requests = TokenBucket::new(100.0);
+    let mut queue: WriteQueue<u32> = WriteQueue::new(6.0, 3.0, 20);
+    queue.set_duty_rate(0, 2.0);
+    for owner in 0..30 {
+        queue.push(write(owner, WriteClass::Leader));
+        queue.push(write(100 + owner, WriteClass::Duty));
+    }
+    assert_eq!(count(queue.next(1001, 1, &mut requests), 100), (6, 2));
+    assert_eq!(count(queue.next(1002, 2, &mut requests), 100), (0, 0));
+    assert_eq!(count(queue.next(2003, 3, &mut requests), 100), (6, 2));
+
+    // Alone they have what is left above the reserve, too.
+    let mut queue: WriteQueue<u32> = WriteQueue::new(6.0, 3.0, 20);
+    queue.set_duty_rate(0, 2.0);
+    for owner in 0..30 {
+        queue.push(write(100 + owner, WriteClass::Duty));
+    }
+    assert_eq!(count(queue.next(1001, 1, &mut requests), 100), (0, 5));
+    queue.push(write(1, WriteClass::Leader));
+    assert_eq!(count(queue.next(1002, 2, &mut requests), 100), (1, 0));
+}
