What is on record to be returned gets no work under a successor; circles of imports untied

Change: a test in which the cloud carries out no return and the leader ends, and a stricter one of versions side by side. A machine whose need had no answer gets no work under that leader. Pages of duties' records that do not go on are read again, as those of jobs. Sets and runs of tasks are a module of their own, so job and packed_record do not import each other; the event loop does not import the HTTP client.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod scheduler;
 pub mod serve;
 pub mod settings;
+mod task_runs;
 mod time_units;
 pub mod wire;
 pub mod write_queue;
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -10,9 +10,8 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 
 use super::connection::{Connection, Role};
-use super::http_client::REPLY_HEAD_MAX;
 use super::idlest::{IdleConnection, IdlestConnections};
-use super::{Event, Listener, Outcome, BODY_MAX, HEAD_MAX};
+use super::{Event, Listener, Outcome, BODY_MAX, HEAD_MAX, REPLY_HEAD_MAX};
 
 const READ_MAX: usize = 16 * 1024;
 const WAKE: Token = Token(0);
--- a/src/net/http_client.rs
+++ b/src/net/http_client.rs
@@ -9,11 +9,9 @@
 use super::connection::{ClientPart, Connection, Role};
 use super::event_loop::EventLoop;
 use super::http_server::{is_connection_close, parse_length};
-use super::{Event, Outcome, HEAD_MAX};
+use super::{Event, Outcome, REPLY_HEAD_MAX};
 
 const HEADERS_MAX: usize = 48;
-/// Largest head of a reply.
-pub(super) const REPLY_HEAD_MAX: usize = 4 * HEAD_MAX;
 
 /// The head of a reply.
 struct ReplyHead {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,8 @@
 pub const BODY_MAX: usize = 64 * 1024;
 /// Largest head of a request.
 const HEAD_MAX: usize = 8 * 1024;
+/// Largest head of a reply.
+const REPLY_HEAD_MAX: usize = 4 * HEAD_MAX;
 
 /// Where a request came in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/node/duties/needs.rs
+++ b/src/node/duties/needs.rs
@@ -25,6 +25,9 @@
 pub(super) struct LeaderNeeds {
     /// Machines whose return is being written.
     pending_returns: HashSet<String>,
+    /// Machines of needs without an answer, which may yet be written: they get no work under
+    /// this leader, whatever becomes of other needs for them.
+    unanswered_returns: HashSet<String>,
     /// Results whose removal is being written.
     taken: HashSet<OrderKey>,
     /// Return needs written in this process, for their names.
@@ -158,9 +161,12 @@
     ) {
         let now = self.now.steady;
         for (key, record) in changes {
-            let machines = record.iter().flat_map(OrderRecord::returned_machines);
-            for machine in machines {
-                self.duties.needs.pending_returns.remove(machine);
+            let needs = &mut self.duties.needs;
+            for machine in record.iter().flat_map(OrderRecord::returned_machines) {
+                needs.pending_returns.remove(machine);
+                if *result == CommitResult::Unknown {
+                    needs.unanswered_returns.insert(machine.clone());
+                }
             }
             let is_written = matches!(result, CommitResult::Committed { .. })
                 || self.replica.duties.order(key).is_some();
@@ -179,6 +185,7 @@
     /// The leader has begun a term: what is on record is taken in as it stands.
     pub(in crate::node) fn take_in_orders(&mut self) {
         self.duties.needs.pending_returns.clear();
+        self.duties.needs.unanswered_returns.clear();
         self.duties.needs.taken.clear();
         if !self.are_duties_active() {
             return;
@@ -222,7 +229,7 @@
                     }
                     OrderResult::NoCapacity | OrderResult::Rejected => {
                         scheduler.on_rental(&key.need, RentalOutcome::Refused, now);
-                        scheduler.on_return_refused(record.returned_machines());
+                        self.keep_machines(record.returned_machines());
                     }
                     OrderResult::Deleted => {
                         scheduler.on_deleted(record.returned_machines(), true, now);
@@ -282,15 +289,24 @@
             }
             OrderPhase::Needed => {
                 scheduler.on_rental(&change.key.need, RentalOutcome::Withdrawn, now);
-                let is_open = |name: &&String| self.replica.duties.is_returned(name);
-                let left = machines.iter().filter(|name| !is_open(name));
-                let left: Vec<String> = left.cloned().collect();
-                scheduler.on_return_refused(&left);
+                self.keep_machines(machines);
             }
             OrderPhase::Completed(_) => {}
         }
     }
 
+    /// Machines are not returned after all, unless another need for them is on record or may
+    /// yet be.
+    fn keep_machines(&mut self, machines: &[String]) {
+        let unanswered = &self.duties.needs.unanswered_returns;
+        let is_open =
+            |name: &&String| self.replica.duties.is_returned(name) || unanswered.contains(*name);
+        let kept: Vec<String> = machines.iter().filter(|m| !is_open(m)).cloned().collect();
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.on_return_refused(&kept);
+        }
+    }
+
     /// How many more rentals the leader may ask for.
     pub(in crate::node) fn rentals_allowed(&self) -> usize {
         let orders = self.replica.duties.orders_of(Duty::Rent);
--- a/src/node/replication.rs
+++ b/src/node/replication.rs
@@ -117,11 +117,26 @@
             return;
         };
         self.replica.apply_page(&page);
-        let last = page.pairs.last().map(|pair| pair.key.as_str());
-        match last.filter(|_| page.truncated) {
-            Some(last) => self.load_duties(Some(last)),
-            None => self.load_jobs(None),
+        if !page.truncated {
+            self.replication.last_key = None;
+            return self.load_jobs(None);
         }
+        if let Some(last) = self.next_page_from(&page) {
+            self.load_duties(Some(&last));
+        }
+    }
+
+    /// The last key of a page, behind which the next one begins. Everything is read again
+    /// if the pages do not go on.
+    fn next_page_from(&mut self, page: &wire::Page) -> Option<String> {
+        let last = page.pairs.last().map(|pair| pair.key.clone());
+        if last <= self.replication.last_key {
+            error!("the state service's pages don't go on behind {last:?}");
+            self.retry_load();
+            return None;
+        }
+        self.replication.last_key = last.clone();
+        last
     }
 
     pub(super) fn on_jobs_page(&mut self, outcome: &Outcome) {
@@ -130,13 +145,9 @@
         };
         self.replica.apply_page(&page);
         if page.truncated {
-            let last = page.pairs.last().map(|pair| pair.key.clone());
-            if last <= self.replication.last_key {
-                error!("the state service's pages of jobs don't go on behind {last:?}");
-                return self.retry_load();
+            if let Some(last) = self.next_page_from(&page) {
+                self.load_jobs(Some(&last));
             }
-            self.load_jobs(last.as_deref());
-            self.replication.last_key = last;
             return;
         }
         self.replication.loading = false;
--- a/src/packed_record.rs
+++ b/src/packed_record.rs
@@ -12,7 +12,7 @@
 //!
 //! A task that ends makes no run longer, as it is no longer among the unfinished.
 
-use crate::job::{TaskRun, TaskSet};
+use crate::task_runs::{TaskRun, TaskSet};
 
 /// Characters with a meaning, which no machine name may contain.
 const MARKS: [char; 5] = [' ', '*', '>', '^', '|'];
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -318,6 +318,26 @@
     }
 }
 
+/// The cloud carries out no return for a while, and the leader ends: its successor finds on
+/// record what is to be returned, and gives it no work although it is idle and reports.
+#[test]
+fn what_is_on_record_to_be_returned_gets_no_work() {
+    for fence in FENCES {
+        let mut sim = Sim::with_duties(fence);
+        submit(&mut sim, 1, "group", 2, 6.0);
+        assert!(sim.until(60_000, Sim::all_done));
+        sim.orders = CloudOrders::Trouble;
+        assert!(sim.until(60_000, |sim| sim.orders_in("return", "recorded") > 0));
+        let leader = sim.leader().expect("a leader");
+        sim.crash(leader, 200);
+        submit(&mut sim, 2, "group", 2, 6.0);
+        sim.run(20_000);
+        assert_eq!(sim.live_tasks(), 0, "{}", sim.trace.join("\n"));
+        sim.orders = CloudOrders::Answered;
+        finish(&mut sim, true);
+    }
+}
+
 /// While a controller runs an older version, or without the settings, duties stay with the
 /// leader. One that comes back without them later leads, if it is elected, by writing needs.
 #[test]
@@ -335,8 +355,14 @@
     finish_without_duties(&mut sim);
     sim.old.clear();
     sim.crash(0, 500);
+    sim.run(12_000);
+    // Whoever leads: one that could hold duties must not begin alone.
+    sim.crash(1, 4000);
     sim.run(20_000);
-    assert!(!sim.are_duties_held(), "c1 holds none");
+    assert!(
+        sim.leader() != Some(1) && !sim.are_duties_held(),
+        "c1 holds none"
+    );
     sim.without_duties.clear();
     sim.crash(1, 500);
     assert!(sim.until(60_000, Sim::are_duties_held));
