--- a/tests/common/duties.rs
+++ b/tests/common/duties.rs
@@ -186,6 +186,17 @@
         of_duty.filter(|(_, (value, ..))| is_in(value)).count()
     }
 
+    /// Machines that are on record to be returned.
+    pub fn returned_machines(&self) -> Vec<String> {
+        let orders = self
+            .state
+            .keys
+            .iter()
+            .filter(|(key, _)| key.starts_with("g/d/o/"));
+        let orders = orders.filter_map(|(_, (value, ..))| logged_order(value));
+        orders.flat_map(|order| order.machines).collect()
+    }
+
     /// Needs that holders refused.
     pub fn refused_needs(&self) -> usize {
         let result = |value: &Value| {
--- a/tests/common/sim.rs
+++ b/tests/common/sim.rs
@@ -55,6 +55,8 @@
     pub deaf: HashSet<String>,
     /// Machines that reach no controller, while direct commands reach them.
     pub mute: HashSet<String>,
+    /// Machines on which every task fails.
+    pub faulty: HashSet<String>,
     /// Machines that stand still, and until when: what reaches them meanwhile is
     /// taken in when they go on.
     pub(super) hung: HashMap<String, u64>,
@@ -165,6 +167,7 @@
             inside: None,
             deaf: HashSet::new(),
             mute: HashSet::new(),
+            faulty: HashSet::new(),
             hung: HashMap::new(),
             hung_inbox: vec![],
             refused: HashSet::new(),
--- a/tests/common/worker_events.rs
+++ b/tests/common/worker_events.rs
@@ -295,6 +295,7 @@
 
     fn tick_tasks(&mut self, name: &str, waiting: &HashMap<(String, u64), u32>) {
         let now = self.now;
+        let fails = self.faulty.contains(name);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -327,6 +328,10 @@
                     task.state = "ended";
                     task.cause = Some("alone");
                 }
+                "running" if now >= task.until && fails => {
+                    task.state = "ended";
+                    task.cause = Some("error");
+                }
                 "running" if now >= task.until => {
                     task.state = "ended";
                     task.cause = Some("done");
