Holders look through the jobs' records only where a need asks for it

Cause: with duties on, holders and the leader put together which machines have tasks on record with each change of any order, rentals included.

Change: only for needs that machines be empty.

--- a/src/node/duties/mod.rs
+++ b/src/node/duties/mod.rs
@@ -17,14 +17,13 @@
 use duty_lease::{Duty, DutyLease, LeaseTiming, OrderBook, OrderId};
 use tracing::debug;
 
-use super::Node;
+use super::{Node, WriteOwner};
 use crate::duties::{holder_key, order_key, OrderKey, OrderRecord, DUTIES_FORMAT};
 use crate::job::PACKED_FORMAT;
 use crate::settings::{ClusterSettings, DutySettings};
 use crate::wire::{Condition, Write};
 use crate::write_queue::{CommitResult, WriteClass, WriteRequest};
 
-use super::WriteOwner;
 use cleaning::Cleaning;
 use needs::LeaderNeeds;
 pub(super) use orders::SentOrder;
--- a/src/node/duties/needs.rs
+++ b/src/node/duties/needs.rs
@@ -7,7 +7,7 @@
 use super::{DutyWrite, Node, WritePurpose};
 use crate::cloud::MachineKind;
 use crate::duties::{OrderChange, OrderKey, OrderPhase, OrderRecord};
-use crate::machine::ReturnGroup;
+use crate::machine::{ReturnGroup, ReturnReason};
 use crate::scheduler::{RentalOutcome, Scheduler};
 use crate::write_queue::CommitResult;
 
@@ -76,22 +76,24 @@
 
     /// The leader wants machines returned, those that are not on record for it yet.
     pub(in crate::node) fn need_returns(&mut self, machines: Vec<String>) {
+        let named = machines.into_iter().filter_map(|name| {
+            let group = self.new_return(&name)?;
+            Some((name, group))
+        });
+        let named: Vec<(String, ReturnGroup)> = named.collect();
         let mut groups: BTreeMap<ReturnGroup, Vec<String>> = BTreeMap::new();
         let mut not_yet = Vec::new();
-        let occupied = self.occupied_machines();
-        for name in machines {
-            let is_known = self.replica.duties.is_returned(&name)
-                || self.duties.needs.pending_returns.contains(&name);
-            let machine = self.scheduler.as_ref().and_then(|s| s.machines.get(&name));
-            let reason = machine.and_then(|machine| machine.return_reason);
-            let Some(reason) = reason.filter(|_| !is_known) else {
-                continue;
-            };
+        let occupied = if named.iter().any(|(_, group)| *group != ReturnGroup::Lost) {
+            self.occupied_machines()
+        } else {
+            HashSet::new()
+        };
+        for (name, group) in named {
             // That its last task has ended is written soon: its holder goes by the records.
-            if reason.group() != ReturnGroup::Lost && occupied.contains(&name) {
+            if group != ReturnGroup::Lost && occupied.contains(&name) {
                 not_yet.push(name);
             } else {
-                groups.entry(reason.group()).or_default().push(name);
+                groups.entry(group).or_default().push(name);
             }
         }
         let now = self.now.steady;
@@ -106,6 +108,16 @@
         }
     }
 
+    /// What has to be looked at before a machine is returned; `None` if that is on record.
+    fn new_return(&self, name: &str) -> Option<ReturnGroup> {
+        let is_pending = self.duties.needs.pending_returns.contains(name);
+        if is_pending || self.replica.duties.is_returned(name) {
+            return None;
+        }
+        let machine = self.scheduler.as_ref()?.machines.get(name)?;
+        machine.return_reason.map(ReturnReason::group)
+    }
+
     /// How many machines a need may name.
     fn return_part_max(&self, names: &[String]) -> usize {
         let value_bytes = (self.state_limits().lowered().value_kb * 1024.0) as usize;
--- a/src/node/duties/orders.rs
+++ b/src/node/duties/orders.rs
@@ -7,6 +7,7 @@
 };
 use tracing::{error, info, warn};
 
+use super::reclaim::is_conditional;
 use super::{DutyWrite, Node, WritePurpose};
 use crate::duties::{refusal_key, OrderKey, OrderPhase, OrderRecord, RefusalRecord};
 use crate::net::Outcome;
@@ -62,10 +63,10 @@
         let intents = self.replica.duties.intents(duty);
         let mut needs = self.replica.duties.needs(duty);
         let all = needs.len();
-        let occupied = if needs.is_empty() {
-            HashSet::new()
-        } else {
+        let occupied = if needs.iter().any(|need| is_conditional(&need.order)) {
             self.occupied_machines()
+        } else {
+            HashSet::new()
         };
         needs.retain(|need| self.may_meet(need, &occupied));
         if let Some(part) = self.duties.part(duty) {
--- a/src/node/duties/reclaim.rs
+++ b/src/node/duties/reclaim.rs
@@ -126,6 +126,6 @@
 }
 
 /// Whether an order may be given only if the machines are empty.
-fn is_conditional(order: &Order) -> bool {
+pub(super) fn is_conditional(order: &Order) -> bool {
     matches!(order, Order::Delete { if_empty: true, .. })
 }
