A holder looks at needs again only if anything has changed

Cause: read once more: with each event a holder put together which machines have tasks on record, as long as any need to return machines was open.

Change: it looks again only if the records of duties or the revision have changed, and only at needs that machines be empty. That a duty is waited for is logged at debug.

With duties off nothing of this runs.

--- a/src/node/duties/leases.rs
+++ b/src/node/duties/leases.rs
@@ -115,6 +115,7 @@
                 LeaseEvent::Gained(token) => {
                     info!(duty = duty.name(), token, member, "the duty is held here");
                     part.orders_generation = None;
+                    part.looked_at = None;
                     part.deciding.clear();
                     if let Some(holder_version) = part.lease.holder_version() {
                         part.orders.on_gained(token, WriteGuard { holder_version });
--- a/src/node/duties/mod.rs
+++ b/src/node/duties/mod.rs
@@ -83,6 +83,8 @@
     /// The records that the lease and the order book were last shown.
     lease_generation: Option<u64>,
     orders_generation: Option<u64>,
+    /// As of when needs were last looked at: the records of duties, and the revision.
+    looked_at: Option<(u64, u64)>,
     /// Records whose change is on its way.
     deciding: Vec<OrderKey>,
 }
@@ -121,6 +123,7 @@
                 orders: OrderBook::new(duty, timing),
                 lease_generation: None,
                 orders_generation: None,
+                looked_at: None,
                 deciding: vec![],
             };
             DutyControl {
--- a/src/node/duties/placement.rs
+++ b/src/node/duties/placement.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use duty_lease::{assign, AssignmentRules, Duty, LiveMember};
-use tracing::{info, warn};
+use tracing::{debug, warn};
 
 use super::Node;
 use crate::duties::DUTIES_FORMAT;
@@ -58,7 +58,7 @@
             };
             part.lease.set_wanted(is_assigned || nobody_takes_it);
             if is_assigned && present.get(&duty).is_some_and(|name| *name != member) {
-                info!(
+                debug!(
                     duty = duty.name(),
                     member, "waits for the duty to be handed over"
                 );
--- a/src/node/duties/reclaim.rs
+++ b/src/node/duties/reclaim.rs
@@ -17,11 +17,26 @@
         if !matches!(duty, Duty::ReclaimIdle | Duty::Return) || !self.holds(duty) {
             return;
         }
-        // Only what the records are as recent as: own changes may be ahead of them.
+        // With each event, but looked at again only if anything has changed.
         let revision = self.replica.revision;
+        let looked_at = (self.replica.duties.generation(), revision);
+        let part = self.duties.part(duty);
+        if part.is_some_and(|part| part.looked_at == Some(looked_at)) {
+            return;
+        }
+        // Only what the records are as recent as: own changes may be ahead of them.
         let mut needs = self.replica.duties.needs(duty);
-        needs.retain(|need| need.version <= revision && self.is_undecided(duty, need));
-        if needs.is_empty() || !self.may_order(duty) {
+        needs.retain(|need| {
+            let is_on_record = need.version <= revision;
+            is_conditional(&need.order) && is_on_record && self.is_undecided(duty, need)
+        });
+        if !needs.is_empty() && !self.may_order(duty) {
+            return;
+        }
+        if let Some(part) = self.duties.part(duty) {
+            part.looked_at = Some(looked_at);
+        }
+        if needs.is_empty() {
             return;
         }
         let occupied = self.occupied_machines();
@@ -119,6 +134,7 @@
         for (key, _) in changes {
             if let Some(part) = self.duties.part(key.duty) {
                 part.deciding.retain(|deciding| deciding != key);
+                part.looked_at = None;
                 part.orders_generation = None;
             }
         }
