A property at the seam of scheduler and duties; properties with fixed seeds

Change: tests/parts/duties.rs; both properties of duties have fixed seeds and keep no file of failures (the kept case is found by the fixed seed, too).

--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -756,6 +756,13 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(31),
+        ..ProptestConfig::default()
+    })]
+
     /// Whatever own changes run ahead of the watch, and however pages and the watch tell of
     /// the same changes again, the replica ends with what the state service holds, and never
     /// shows an older record after a newer one.
--- a/tests/parts/main.rs
+++ b/tests/parts/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod cloud;
+mod duties;
 mod job;
 mod leader_lease;
 mod machine;
