--- a/tests/parts/duties.rs
+++ b/tests/parts/duties.rs
@@ -89,17 +89,20 @@
         match news {
             News::ReturnRecorded(index) => {
                 let name = machine_name(index);
-                self.scheduler.on_return_recorded(&[name.clone()]);
+                self.scheduler
+                    .on_return_recorded(std::slice::from_ref(&name));
                 self.on_record.insert(name);
             }
             News::ReturnRefused(index) => {
                 let name = machine_name(index);
-                self.scheduler.on_return_refused(&[name.clone()]);
+                self.scheduler
+                    .on_return_refused(std::slice::from_ref(&name));
                 self.on_record.remove(&name);
             }
             News::Returned(index) => {
                 let name = machine_name(index);
-                self.scheduler.on_deleted(&[name.clone()], true, self.now);
+                self.scheduler
+                    .on_deleted(std::slice::from_ref(&name), true, self.now);
                 self.on_record.remove(&name);
                 self.gone.insert(name);
             }
