--- a/src/settings.rs
+++ b/src/settings.rs
@@ -43,10 +43,12 @@
         source: serde_json::Error,
     },
     /// The operators' file can't be parsed.
-    #[error("{file}: not valid operator settings: {}", source.message())]
+    #[error("{file}: not valid operator settings: {line}{}", source.message())]
     Toml {
         /// The file.
         file: String,
+        /// The line of the file that can't be used, if it is known.
+        line: String,
         /// Why.
         source: Box<toml::de::Error>,
     },
@@ -401,6 +403,7 @@
         let settings: OperatorSettings =
             toml::from_str(&text).map_err(|source| SettingsError::Toml {
                 file: path.display().to_string(),
+                line: faulty_line(&text, &source),
                 source: Box::new(source),
             })?;
         settings.check()?;
@@ -426,6 +429,17 @@
     }
 }
 
+/// The line of a file that an error is in, which names the field.
+fn faulty_line(text: &str, error: &toml::de::Error) -> String {
+    let before = error.span().and_then(|span| text.get(..span.start));
+    let Some(before) = before else {
+        return String::new();
+    };
+    let index = before.matches('\n').count();
+    let line = text.lines().nth(index).unwrap_or("").trim();
+    format!("line {} (`{line}`): ", index + 1)
+}
+
 fn read(path: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
         file: path.display().to_string(),
--- /dev/null
+++ b/tests/real/sockets.rs
@@ -0,0 +1,212 @@
+//! The event loop by itself: how sockets are shared out, and what is read in a turn.
+
+use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use gaugesill::net::{ConnectionLimits, Event, EventLoop, Outcome};
+
+use crate::http::{free_port, read_message};
+
+/// Found with a fleet half as large again: after a mass failure the leader's own
+/// calls to workers took every socket that the workers' and users' connections
+/// left. Each has its part: users make room before workers do, and calls to the
+/// state service get through however many workers are called.
+#[test]
+fn sockets_are_shared_out() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    // Accept nothing: calls to them stay in progress.
+    let dead = TcpListener::bind(any).expect("a port");
+    let vital = TcpListener::bind(any).expect("a port");
+    let limits = ConnectionLimits {
+        fd_limit: 32,
+        vital: HashSet::from([vital.local_addr().expect("an address")]),
+        worker_idle: Duration::from_secs(3600),
+        reply_max: 1 << 20,
+    };
+    let mut event_loop = EventLoop::new(front, any, limits).expect("it listens");
+    let mut serve = |sockets: &mut [TcpStream], path: &str| {
+        for socket in sockets.iter_mut() {
+            let text = format!("POST {path} HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+            socket
+                .write_all(text.as_bytes())
+                .expect("it takes a request");
+        }
+        let mut left = sockets.len();
+        let mut turns = 0;
+        while left > 0 {
+            turns += 1;
+            assert!(turns < 4000, "{left} requests are never read");
+            for event in event_loop.turn(Duration::from_millis(5)).expect("a turn") {
+                if let Event::Request { connection, .. } = event {
+                    event_loop.answer(connection, 200, None, &[]);
+                    left -= 1;
+                }
+            }
+        }
+        sockets
+            .iter_mut()
+            .all(|socket| read_message(socket).is_some())
+    };
+    let open = |count: usize| -> Vec<TcpStream> {
+        let connect = |_| TcpStream::connect(front).expect("a connection");
+        (0..count).map(connect).collect()
+    };
+    let mut workers = open(16);
+    assert!(serve(&mut workers, "/checkin"));
+    for _ in 0..5 {
+        // Eight places are left: later users take those of earlier ones.
+        let mut users = open(8);
+        assert!(serve(&mut users, "/work"));
+    }
+    assert!(serve(&mut workers, "/checkin"), "no worker was turned out");
+    let mut unsent = 0;
+    for tag in 0..20 {
+        let to = dead.local_addr().expect("an address");
+        event_loop.call(tag, to, "GET", "/inspect", &[], Duration::from_secs(60));
+    }
+    let to = vital.local_addr().expect("an address");
+    event_loop.call(99, to, "GET", "/kv", &[], Duration::from_secs(60));
+    for event in event_loop.turn(Duration::ZERO).expect("a turn") {
+        if let Event::Reply { tag, outcome } = event {
+            assert_eq!(outcome, Outcome::NotSent);
+            assert_ne!(tag, 99);
+            unsent += 1;
+        }
+    }
+    assert_eq!(unsent, 14);
+    vital.accept().expect("the vital call gets through");
+}
+
+/// Found on lean lenteks, rough: 370 newcomers a second were taken in and read
+/// before anything else was looked at, and those sent elsewhere were waited for
+/// until they hung up. A turn is bounded, and 421 ends the connection.
+#[test]
+fn a_turn_is_bounded_and_a_redirect_closes() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let limits = ConnectionLimits {
+        fd_limit: 400,
+        vital: HashSet::new(),
+        worker_idle: Duration::from_secs(3600),
+        reply_max: 1 << 20,
+    };
+    let mut event_loop = EventLoop::new(front, any, limits).expect("it listens");
+    let mut sockets: Vec<TcpStream> = (0..60)
+        .map(|_| TcpStream::connect(front).expect("a connection"))
+        .collect();
+    for socket in &mut sockets {
+        socket
+            .write_all(b"POST /checkin HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+            .expect("it takes a request");
+    }
+    let (mut left, mut turns) = (sockets.len(), 0);
+    while left > 0 {
+        turns += 1;
+        assert!(turns < 4000, "{left} requests are never read");
+        let events = event_loop.turn(Duration::from_millis(5)).expect("a turn");
+        assert!(events.len() <= 24, "{} at once", events.len());
+        for event in events {
+            if let Event::Request { connection, .. } = event {
+                event_loop.answer(connection, 421, None, &[]);
+                left -= 1;
+            }
+        }
+    }
+    for socket in &mut sockets {
+        let answer = read_message(socket).expect("an answer");
+        assert_eq!(answer.status, Some(421));
+        assert_eq!(socket.read(&mut [0; 1]).expect("an end"), 0, "it hangs up");
+    }
+}
+
+/// With more machines than places for their connections each would lose its own just
+/// before its next report, if the idlest made room: nobody would keep one. Those that are
+/// there keep theirs, and the others are served on connections of one request.
+#[test]
+fn more_machines_than_sockets() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let limits = ConnectionLimits {
+        fd_limit: 64,
+        vital: HashSet::new(),
+        worker_idle: Duration::from_secs(3600),
+        reply_max: 1 << 20,
+    };
+    let mut event_loop = EventLoop::new(front, any, limits).expect("it listens");
+    let mut machines: Vec<Option<TcpStream>> = (0..90).map(|_| None).collect();
+    let mut connections = Vec::new();
+    for _ in 0..3 {
+        let mut opened = 0;
+        for kept in &mut machines {
+            let mut socket = kept.take().unwrap_or_else(|| {
+                opened += 1;
+                TcpStream::connect(front).expect("a connection")
+            });
+            socket
+                .write_all(b"POST /checkin HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+                .expect("it takes a request");
+            let mut answered = false;
+            let mut turns = 0;
+            while !answered {
+                turns += 1;
+                assert!(turns < 4000, "a request is never read");
+                for event in event_loop.turn(Duration::from_millis(5)).expect("a turn") {
+                    if let Event::Request { connection, .. } = event {
+                        event_loop.answer(connection, 200, None, &[]);
+                        answered = true;
+                    }
+                }
+            }
+            let answer = read_message(&mut socket).expect("an answer");
+            *kept = (!answer.closes).then_some(socket);
+        }
+        connections.push(opened);
+    }
+    let kept = machines.iter().flatten().count();
+    assert!((40..48).contains(&kept), "{kept} keep their connection");
+    assert_eq!(connections, [90, 90 - kept, 90 - kept]);
+}
+
+/// An answer at the bound is taken, one beyond it is told from none.
+#[test]
+fn answers_at_and_beyond_the_bound() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let other = TcpListener::bind(any).expect("a port");
+    let to = other.local_addr().expect("an address");
+    let bound = 100_000;
+    std::thread::spawn(move || {
+        for (socket, length) in other.incoming().zip([bound, bound + 1]) {
+            let mut socket = socket.expect("a connection");
+            let _ = read_message(&mut socket);
+            let head =
+                format!("HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
+            let _ = socket.write_all(head.as_bytes());
+            let _ = socket.write_all(&vec![b'x'; length]);
+        }
+    });
+    let limits = ConnectionLimits {
+        fd_limit: 64,
+        vital: HashSet::from([to]),
+        worker_idle: Duration::from_secs(3600),
+        reply_max: bound,
+    };
+    let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let mut event_loop = EventLoop::new(front, any, limits).expect("it listens");
+    let mut outcome_of = |tag: u64| {
+        event_loop.call(tag, to, "GET", "/watch", &[], Duration::from_secs(20));
+        for _ in 0..8000 {
+            for event in event_loop.turn(Duration::from_millis(5)).expect("a turn") {
+                if let Event::Reply { outcome, .. } = event {
+                    return outcome;
+                }
+            }
+        }
+        panic!("no outcome of call {tag}");
+    };
+    let first = outcome_of(1);
+    assert!(matches!(first, Outcome::Answer { body, .. } if body.len() == bound));
+    assert_eq!(outcome_of(2), Outcome::TooLarge);
+}
--- /dev/null
+++ b/tests/real/world.rs
@@ -0,0 +1,371 @@
+//! The stand-ins over real sockets, and three processes of the service.
+
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use gaugesill::wire::{self, CommandBatch, Report, TaskReport};
+
+use crate::common::{submission, Cloud, Served, StateService, TokenCheck};
+use crate::http::{call, free_port, serve, Message};
+
+/// How long tasks take.
+const TASK_TIME: Duration = Duration::from_millis(300);
+/// Far more than any wait takes.
+const WAIT_MAX: Duration = Duration::from_secs(120);
+/// Tests of one process have folders of their own.
+static WORLDS: AtomicU32 = AtomicU32::new(0);
+
+/// The stand-ins, behind one lock.
+pub struct World {
+    pub state: StateService,
+    pub cloud: Cloud,
+    pub starts: BTreeMap<String, u32>,
+    /// Orders to the cloud in the order in which they were carried out or refused.
+    pub orders: Vec<TokenCheck>,
+    /// Orders with this token wait at the cloud.
+    pub held_token: Option<u64>,
+    /// How many wait.
+    pub waiting_orders: usize,
+    started: Instant,
+}
+
+pub type Shared = Arc<Mutex<World>>;
+
+impl World {
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
+
+/// Three processes, ended with the value.
+pub struct Service {
+    pub world: Shared,
+    pub fronts: Vec<SocketAddr>,
+    pub settings: Vec<PathBuf>,
+    pub folder: PathBuf,
+    pub operator: Option<PathBuf>,
+    pub processes: Vec<Child>,
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_gaugesill"))
+}
+
+impl Service {
+    /// The stand-ins and three controllers, `operator`: with these operators' settings.
+    pub fn start(operator: Option<&str>) -> Service {
+        let world: Shared = Arc::new(Mutex::new(World {
+            state: StateService::default(),
+            cloud: Cloud {
+                boot_ms: 100,
+                most: 4,
+                checks_tokens: true,
+                ..Cloud::default()
+            },
+            starts: BTreeMap::new(),
+            orders: vec![],
+            held_token: None,
+            waiting_orders: 0,
+            started: Instant::now(),
+        }));
+        let number = WORLDS.fetch_add(1, Ordering::Relaxed);
+        let folder = format!("gaugesill-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let (for_state, for_cloud) = (world.clone(), world.clone());
+        let state = serve(move |request| serve_state(&for_state, request));
+        let cloud = serve(move |request| serve_cloud(&for_cloud, request));
+        let ports: Vec<(u16, u16)> = (0..3).map(|_| (free_port(), free_port())).collect();
+        let settings = (0..3).map(|member| {
+            let path = folder.join(format!("c{member}.json"));
+            std::fs::write(&path, settings_text(member, &ports, state, cloud)).expect("written");
+            path
+        });
+        let settings = settings.collect();
+        let operator = operator.map(|text| {
+            let path = folder.join("operator.toml");
+            std::fs::write(&path, text).expect("written");
+            path
+        });
+        let fronts = ports.iter().map(|port| ([127, 0, 0, 1], port.0).into());
+        let mut service = Service {
+            fronts: fronts.collect(),
+            world,
+            settings,
+            folder,
+            operator,
+            processes: vec![],
+        };
+        service.processes = (0..3).map(|member| service.spawn(member)).collect();
+        start_workers(service.world.clone(), service.fronts.clone());
+        for front in &service.fronts {
+            wait_for("a healthy controller", || {
+                call(*front, "GET", "/up", b"").is_some_and(|answer| answer.0 == 200)
+            });
+        }
+        service
+    }
+
+    pub fn spawn(&self, member: usize) -> Child {
+        let mut command = program();
+        if let Some(operator) = &self.operator {
+            command.arg("--operator").arg(operator);
+        }
+        command.arg("--config").arg(&self.settings[member]);
+        command.env("LOG_LEVEL", "error").stdout(Stdio::null());
+        command.spawn().expect("it starts")
+    }
+
+    pub fn kill(&mut self, member: usize) {
+        let _ = self.processes[member].kill();
+        let _ = self.processes[member].wait();
+    }
+
+    pub fn submit(&self, member: usize, id: &str) {
+        let body = wire::encode(&submission(id, "sweep", 3, 2.0, "normal"));
+        wait_for("a submission", || {
+            let answer = call(self.fronts[member], "POST", "/work", &body);
+            answer.is_some_and(|(status, _)| status == 200 || status == 201)
+        });
+    }
+
+    pub fn wait_until_done(&self, member: usize, id: &str) {
+        wait_for("a job to be done", || {
+            let answer = call(self.fronts[member], "GET", &format!("/work/{id}"), b"");
+            let reply = answer.and_then(|(_, body)| ciborium::from_reader(body.as_slice()).ok());
+            let reply: ciborium::Value = reply.unwrap_or(ciborium::Value::Null);
+            let status = reply.as_map().into_iter().flatten();
+            let mut status = status.filter(|(key, _)| key.as_text() == Some("status"));
+            status.any(|(_, value)| value.as_text() == Some("done"))
+        });
+    }
+
+    /// The member that a key of the state service names.
+    pub fn member_in(&self, key: &str) -> Option<usize> {
+        let world = self.world.lock().expect("lock");
+        let (value, ..) = world.state.keys.get(key)?;
+        let fields = value.as_map()?.iter();
+        let mut member = fields.filter(|(name, _)| name.as_text() == Some("member"));
+        member.next()?.1.as_text()?[1..].parse().ok()
+    }
+}
+
+fn settings_text(
+    member: usize,
+    ports: &[(u16, u16)],
+    state: SocketAddr,
+    cloud: SocketAddr,
+) -> String {
+    let others = (0..3).filter(|other| *other != member);
+    let known: Vec<String> = others
+        .map(|other| {
+            let port = ports[other].1;
+            format!(r#"{{"member":"c{other}","zone":"a","address":"127.0.0.1:{port}"}}"#)
+        })
+        .collect();
+    let (front, mesh) = ports[member];
+    format!(
+        r#"{{"member":"c{member}","zone":"a","front":"127.0.0.1:{front}","mesh_addr":"127.0.0.1:{mesh}","known":[{}],
+        "endpoints":{{"state":"{state}","cloud":"{cloud}"}},"cluster":{{"teams":[{{"name":"t"}}],
+        "workers":{{"report_s":1.0,"lease_s":12.0,"gang_wait_s":12.0,"gang_peer_s":2.0,"cancel_s":20.0}},
+        "state":{{"rps":500.0,"write_rps":100.0,"value_kb":16.0,"txn_ops":20}},
+        "cloud":{{"rps":20.0,"list_lag_s":0.2}},
+        "limits":{{"cpu_share":1.0,"ram_mb":200.0,"fd_limit":500}}}}}}"#,
+        known.join(",")
+    )
+}
+
+fn serve_state(world: &Shared, request: &Message) -> (u16, Vec<u8>) {
+    let served = {
+        let mut world = world.lock().expect("lock");
+        let now = world.now();
+        let (method, path) = (request.method.as_str(), request.path.as_str());
+        world.state.handle(method, path, &request.body, now)
+    };
+    match served {
+        Served::Now(status, body) => (status, body),
+        Served::Wait(under, from, until) => loop {
+            std::thread::sleep(Duration::from_millis(5));
+            let mut world = world.lock().expect("lock");
+            let now = world.now();
+            world.state.expire(now);
+            let reply = world.state.changes(&under, from);
+            if !reply.changes.is_empty() || now >= until {
+                return (200, wire::encode(&reply));
+            }
+        },
+    }
+}
+
+fn serve_cloud(world: &Shared, request: &Message) -> (u16, Vec<u8>) {
+    let is_order = request.method == "POST";
+    if is_order {
+        hold_order(world, request);
+    }
+    let mut world = world.lock().expect("lock");
+    let now = world.now();
+    if is_order {
+        let check = world.cloud.check_token(&request.path, &request.body);
+        world.orders.push(check.clone());
+        if check.refused {
+            return (409, vec![]);
+        }
+    }
+    let (method, path) = (request.method.as_str(), request.path.as_str());
+    world.cloud.handle(method, path, &request.body, now)
+}
+
+/// Waits for as long as orders with this token are held up.
+fn hold_order(world: &Shared, request: &Message) {
+    let token = Cloud::token_of(&request.body);
+    let is_held = || token.is_some() && world.lock().expect("lock").held_token == token;
+    if !is_held() {
+        return;
+    }
+    world.lock().expect("lock").waiting_orders += 1;
+    while is_held() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    world.lock().expect("lock").waiting_orders -= 1;
+}
+
+/// Workers come up as machines are rented.
+fn start_workers(world: Shared, fronts: Vec<SocketAddr>) {
+    std::thread::spawn(move || {
+        let mut known = HashSet::new();
+        loop {
+            let up: Vec<String> = {
+                let world = world.lock().expect("lock");
+                let now = world.now();
+                let up = world.cloud.machines.iter().filter(|(_, m)| now >= m.up_at);
+                up.map(|(name, _)| name.clone()).collect()
+            };
+            for machine in up {
+                if known.insert(machine.clone()) {
+                    let (world, fronts) = (world.clone(), fronts.clone());
+                    std::thread::spawn(move || Worker::new(machine, fronts).run(&world));
+                }
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    });
+}
+
+/// One machine's worker.
+struct Worker {
+    machine: String,
+    fronts: Vec<SocketAddr>,
+    serial: u64,
+    epoch: u64,
+    /// The controller that it reports to.
+    reports_to: usize,
+    /// Name, attempt and start.
+    tasks: Vec<(String, u64, Instant)>,
+}
+
+impl Worker {
+    fn new(machine: String, fronts: Vec<SocketAddr>) -> Worker {
+        Worker {
+            machine,
+            fronts,
+            serial: 0,
+            epoch: 0,
+            reports_to: 0,
+            tasks: vec![],
+        }
+    }
+
+    fn run(mut self, world: &Shared) {
+        while let Some(report) = self.report(world) {
+            let to = self.fronts[self.reports_to];
+            let next = (self.reports_to + 1) % self.fronts.len();
+            match call(to, "POST", "/checkin", &wire::encode(&report)) {
+                Some((200, body)) => {
+                    let batch: CommandBatch = wire::decode(&body).expect("orders");
+                    self.obey(batch, world);
+                }
+                Some((421, body)) => {
+                    let redirect: Option<wire::Redirect> = wire::decode(&body);
+                    let member = redirect.and_then(|redirect| redirect.reports_to);
+                    let member = member.and_then(|member| member[1..].parse().ok());
+                    self.reports_to = member.unwrap_or(next);
+                }
+                _ => self.reports_to = next,
+            }
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    }
+
+    /// `None` once the machine is gone.
+    fn report(&mut self, world: &Shared) -> Option<Report> {
+        let world = world.lock().expect("lock");
+        let machine = world.cloud.machines.get(&self.machine)?;
+        self.serial += 1;
+        let tasks = self.tasks.iter().map(|(name, attempt, started)| {
+            let done = started.elapsed() > TASK_TIME;
+            TaskReport {
+                task: name.clone(),
+                attempt: *attempt,
+                status: if done { "ended" } else { "running" }.into(),
+                cause: done.then(|| "done".into()),
+                kept: None,
+            }
+        });
+        Some(Report {
+            machine: self.machine.clone(),
+            endpoint: "127.0.0.1:1".into(),
+            machine_type: machine.machine_type.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+            session: 1,
+            serial: self.serial,
+            epoch: self.epoch,
+            reclaim_in_s: None,
+            tasks: tasks.collect(),
+        })
+    }
+
+    fn obey(&mut self, batch: CommandBatch, world: &Shared) {
+        if batch.epoch < self.epoch {
+            return;
+        }
+        self.epoch = batch.epoch;
+        for command in batch.commands {
+            let (name, attempt) = (command.task, command.attempt);
+            let is_it = |task: &(String, u64, Instant)| task.0 == name && task.1 == attempt;
+            if command.verb != "start" {
+                self.tasks.retain(|task| !is_it(task));
+            } else if !self.tasks.iter().any(is_it) {
+                let mut world = world.lock().expect("lock");
+                *world.starts.entry(name.clone()).or_insert(0) += 1;
+                self.tasks.push((name, attempt, Instant::now()));
+            }
+        }
+    }
+}
+
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while started.elapsed() < WAIT_MAX {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("in vain: {what}");
+}
