--- a/tests/common/agent.rs
+++ b/tests/common/agent.rs
@@ -5,6 +5,7 @@
 use gaugesill::wire::{AgentStatus, CommandBatch, ExitReason, TaskState, TaskStatus};
 
 use super::addresses::agent_address;
+use super::agent_ticks::LEASE_MS;
 use super::cloud::Rented;
 use super::controller_processes::CONTROLLERS;
 
@@ -76,6 +77,8 @@
     pub serial: u64,
     /// The highest epoch that any controller has sent it.
     pub epoch: Epoch,
+    /// When a higher epoch next counts as a change of the status.
+    next_epoch_change_at: u64,
     pub tasks: Vec<AgentTask>,
     /// The controller that receives its heartbeats.
     pub reports_to: usize,
@@ -96,6 +99,7 @@
             incarnation: Incarnation::new(1),
             serial: 0,
             epoch: Epoch::NONE,
+            next_epoch_change_at: 0,
             tasks: vec![],
             reports_to: 0,
             pending_heartbeat: None,
@@ -143,9 +147,14 @@
         batch.epoch >= self.epoch && batch.incarnation == Some(self.incarnation)
     }
 
-    pub(super) fn observe_epoch(&mut self, epoch: Epoch) {
-        if epoch > self.epoch {
-            self.epoch = epoch;
+    /// A higher epoch counts as a change of the status at most once in half a lease.
+    pub(super) fn observe_epoch(&mut self, epoch: Epoch, now: u64) {
+        if epoch <= self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        if now >= self.next_epoch_change_at {
+            self.next_epoch_change_at = now + LEASE_MS / 2;
             self.has_changes = true;
         }
     }
--- a/tests/common/agent_commands.rs
+++ b/tests/common/agent_commands.rs
@@ -38,8 +38,9 @@
     }
 
     pub(super) fn execute_commands(&mut self, machine: &str, batch: CommandBatch) {
+        let now = self.now;
         if let Some(agent) = self.agents.get_mut(machine) {
-            agent.observe_epoch(batch.epoch);
+            agent.observe_epoch(batch.epoch, now);
         }
         for command in batch.commands {
             self.execute_command(machine, &command);
--- a/tests/common/agent_ticks.rs
+++ b/tests/common/agent_ticks.rs
@@ -8,7 +8,7 @@
 use super::sim::Sim;
 
 /// These intervals match the settings that the tests use, see `settings_with`.
-const LEASE_MS: u64 = 36_000;
+pub(super) const LEASE_MS: u64 = 36_000;
 const GANG_WAIT_MS: u64 = 35_000;
 const GANG_PEER_MS: u64 = 4000;
 pub(super) const CANCEL_MS: u64 = 60_000;
--- a/tests/common/cloud_orders.rs
+++ b/tests/common/cloud_orders.rs
@@ -9,7 +9,7 @@
 
 use super::addresses::CLOUD_IP;
 use super::faults::LateCall;
-use super::messages::Call;
+use super::messages::{Call, SimMessage};
 use super::sim::Sim;
 use super::values::{field, texts};
 
@@ -134,6 +134,9 @@
         let (status, body) = self
             .cloud
             .handle(call.method, &call.path, &call.body, self.now);
+        if status == 200 {
+            self.repeat_call(call, SimMessage::ToCloud);
+        }
         Outcome::Response { status, body }
     }
 
--- a/tests/common/delivery.rs
+++ b/tests/common/delivery.rs
@@ -44,6 +44,9 @@
         if is_read && self.faults.unanswered_reads.contains(&controller) {
             return;
         }
+        if call.ticket.is_copy() {
+            return drop(self.serve_store(&call));
+        }
         call.body = self.as_previous_version(controller, &call.path, call.body);
         match self.write_fate(&call.path) {
             WriteFate::Late { delay_ms } => {
@@ -86,6 +89,9 @@
         for commit in std::mem::take(&mut self.store.commits) {
             self.trace_event(commit);
         }
+        if matches!(served, StoreResponse::Now(200, _)) {
+            self.repeat_call(call, SimMessage::ToStore);
+        }
         served
     }
 
@@ -102,6 +108,8 @@
             let batch: CommandBatch = wire::decode(&call.body).expect("commands");
             if self.agents[&machine].accepts(&batch) {
                 self.execute_commands(&machine, batch);
+                let machine = machine.clone();
+                self.repeat_call(&call, |call| SimMessage::ToAgent { machine, call });
             } else {
                 status = 409;
             }
@@ -119,6 +127,7 @@
         if is_cut || self.controllers[to].is_none() {
             return;
         }
+        self.repeat_call(&call, |call| SimMessage::ToPeer { to, call });
         let connection = self.network.connect(Origin::Peer(call.ticket));
         self.post(to, connection, Listener::Peers, call.path, call.body);
     }
--- a/tests/common/faults.rs
+++ b/tests/common/faults.rs
@@ -7,6 +7,7 @@
 
 use super::cloud_orders::CloudOrderBehavior;
 use super::messages::{Call, Heartbeat, SimMessage};
+use super::repeats::Repeats;
 use super::sim::Sim;
 
 /// How the store handles transactions.
@@ -77,6 +78,8 @@
     pub image_pull_ms: HashMap<String, u64>,
     /// Delays after which a copy of every heartbeat arrives at every controller.
     pub heartbeat_copies_after_ms: Vec<u64>,
+    /// When calls that were carried out arrive once more.
+    pub repeats: Repeats,
     /// Delay after the election of the next leader at which copies of earlier heartbeats arrive at
     /// every controller.
     pub copies_to_next_leader_after_ms: Option<u64>,
@@ -141,6 +144,8 @@
     pub(super) heartbeats: Vec<Heartbeat>,
     pub(super) late_writes: Vec<LateCall>,
     pub(super) late_cloud_orders: Vec<LateCall>,
+    /// Copies of calls that are sent when the process of the controller that made them ends.
+    pub(super) until_crash: HashMap<usize, Vec<SimMessage>>,
     heartbeat_copies: Vec<Heartbeat>,
     /// The highest epoch for which the stored copies were sent.
     copies_sent_at_epoch: Epoch,
@@ -176,6 +181,7 @@
             .retain(|watch| watch.ticket.controller != controller);
         self.pauses.end(controller);
         self.trace_event(format!("c{controller} crashes"));
+        self.repeat_calls_of_ended(controller);
     }
 
     /// Crashes all controllers; `restart_after_ms` gives the time for each.
