--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -7,7 +7,7 @@
 use super::duties::{DutyLeaseCall, SentOrder};
 use crate::epoch::Epoch;
 use crate::leader_lease::LeaseRequest;
-use crate::scheduler::DirectStart;
+use crate::machine::TaskAttempt;
 
 /// The purpose of a call in flight.
 #[derive(Debug)]
@@ -62,7 +62,7 @@
     /// The epoch of the leader that made the call.
     pub epoch: Epoch,
     /// The task starts among the commands sent.
-    pub starts: Vec<DirectStart>,
+    pub starts: Vec<TaskAttempt>,
 }
 
 impl PendingCall {
--- a/src/controller/effects.rs
+++ b/src/controller/effects.rs
@@ -11,10 +11,10 @@
 use super::provider_client::MachineRequest;
 use super::responses::AgentResponse;
 use super::{Controller, StepDownReason};
+use crate::machine::TaskAttempt;
 use crate::net::Outcome;
-use crate::scheduler::{DirectStart, Effect, StatusOrigin};
-use crate::wire::Incarnation;
-use crate::wire::{self, Command, Condition, Write};
+use crate::scheduler::{Effect, StatusOrigin};
+use crate::wire::{self, CommandBatch, Condition, Write};
 use crate::write_queue::{WriteClass, WriteRequest};
 
 /// Timeout for a call to an agent.
@@ -41,11 +41,17 @@
             Effect::Commands {
                 machine,
                 address,
+                epoch,
                 incarnation,
                 commands,
                 starts,
             } => {
-                let call = self.commands_call(&machine, incarnation, commands);
+                trace!(%machine, ?commands, "sending commands");
+                let call = commands_call(&CommandBatch {
+                    epoch,
+                    incarnation: Some(incarnation),
+                    commands,
+                });
                 self.call_agent(machine, address, starts, call);
             }
             Effect::Inspect { machine, address } => {
@@ -70,26 +76,11 @@
         });
     }
 
-    fn commands_call(
-        &self,
-        machine: &str,
-        incarnation: Incarnation,
-        commands: Vec<Command>,
-    ) -> HttpCall {
-        trace!(machine, ?commands, "sending commands");
-        let body = wire::encode(&wire::CommandBatch {
-            epoch: self.epoch(),
-            incarnation: Some(incarnation),
-            commands,
-        });
-        HttpCall::post(wire::COMMANDS_PATH, body, AGENT_TIMEOUT_MS)
-    }
-
     fn call_agent(
         &mut self,
         machine: Arc<str>,
         address: SocketAddr,
-        starts: Vec<DirectStart>,
+        starts: Vec<TaskAttempt>,
         call: HttpCall,
     ) {
         let pending = PendingCall::Agent(AgentCall {
@@ -112,9 +103,14 @@
         let Some(agent_status) = response.status else {
             return;
         };
-        if agent_status.epoch > call.epoch {
+        if scheduler.is_fenced_by(agent_status.epoch) {
             return self.resign(StepDownReason::HigherEpochSeen, 0);
         }
         scheduler.on_agent_status(&agent_status, StatusOrigin::DirectResponse, now);
     }
 }
+
+/// The call that sends commands directly to an agent.
+fn commands_call(batch: &CommandBatch) -> HttpCall {
+    HttpCall::post(wire::COMMANDS_PATH, wire::encode(batch), AGENT_TIMEOUT_MS)
+}
--- a/src/controller/heartbeats.rs
+++ b/src/controller/heartbeats.rs
@@ -31,7 +31,7 @@
         let Some(scheduler) = &self.scheduler else {
             return self.redirect(connection, agent_status);
         };
-        if agent_status.epoch > scheduler.epoch() {
+        if scheduler.is_fenced_by(agent_status.epoch) {
             self.resign(StepDownReason::HigherEpochSeen, 0);
             return self.redirect(connection, agent_status);
         }
@@ -101,10 +101,11 @@
             // heartbeat is redirected to the new leader.
             return self.outbox.respond(connection, HttpResponse::unavailable());
         };
+        let commands = scheduler.heartbeat_response_commands(agent_status, permission, now);
         let batch = wire::CommandBatch {
-            epoch: scheduler.epoch(),
+            epoch: scheduler.command_epoch(&agent_status.machine),
             incarnation: None,
-            commands: scheduler.heartbeat_response_commands(agent_status, permission, now),
+            commands,
         };
         trace!(
             machine = agent_status.machine,
--- a/src/controller/leadership.rs
+++ b/src/controller/leadership.rs
@@ -159,7 +159,7 @@
     }
 }
 
-/// The transaction that takes the leader key and raises the epoch.
+/// The transaction that takes the leader key and reserves the epochs of the new term.
 fn election_transaction(election: &Election, member: &str) -> Transaction {
     let key = LeaderKey {
         member: member.to_string(),
@@ -171,7 +171,8 @@
     }
     let own_key = election.fence.leader_key();
     writes.push(Write::leader(own_key, &key, Some(election.grant)));
-    writes.push(Write::set(EPOCH_KEY.into(), election.epoch.get().into()));
+    let last_epoch = election.epoch.last_of_term();
+    writes.push(Write::set(EPOCH_KEY.into(), last_epoch.get().into()));
     Transaction {
         conditions: vec![
             Condition::new(LEADER_KEY, election.leader_version),
--- a/src/epoch.rs
+++ b/src/epoch.rs
@@ -4,8 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The number of a leader's term. Each election increments it, and agents reject commands with a
-/// lower epoch than the highest that they have seen. Messages and records contain the plain number.
+/// How many epochs an election reserves for the term of the new leader.
+const EPOCHS_PER_TERM: u64 = 1_000_000_000;
+
+/// A fencing token: agents reject commands with a lower epoch than the highest that they have
+/// seen. An election reserves a range of epochs for its term, above those of all earlier terms. The
+/// first one identifies the term; with the others its leader fences its own earlier commands to an
+/// agent. Messages and records contain the plain number.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -28,11 +33,17 @@
         self.0
     }
 
-    /// The epoch of the next leader.
+    /// The next higher epoch.
     #[must_use]
     pub const fn next(self) -> Epoch {
         Epoch(self.0 + 1)
     }
+
+    /// The last epoch that is reserved for the term that begins with this epoch.
+    #[must_use]
+    pub const fn last_of_term(self) -> Epoch {
+        Epoch(self.0.saturating_add(EPOCHS_PER_TERM - 1))
+    }
 }
 
 impl fmt::Display for Epoch {
--- a/src/leader_lease.rs
+++ b/src/leader_lease.rs
@@ -2,7 +2,7 @@
 //!
 //! The leader is the controller whose id is in the leader key. That key is attached to a grant of
 //! the store, so the store deletes it when the leader no longer renews the grant. Each election
-//! increments the epoch, the fencing token by which agents reject commands of earlier leaders.
+//! reserves the next epochs, the fencing tokens by which agents reject commands of earlier leaders.
 //!
 //! [`LeaderLease`] is the state machine of one controller. It does no I/O: the caller polls it for
 //! the next request, sends that request and reports the response. At most one request is in
@@ -61,7 +61,7 @@
 pub struct Election {
     /// The grant that the key is attached to.
     pub grant: u64,
-    /// The epoch of the new leadership.
+    /// The first epoch of the new term.
     pub epoch: Epoch,
     /// The version of [`crate::leadership_keys::LEADER_KEY`]; 0 if it does not exist.
     pub leader_version: u64,
@@ -78,7 +78,7 @@
 pub enum LeaseRequest {
     /// Create a grant.
     Grant,
-    /// Acquire the leader key and increment the epoch.
+    /// Acquire the leader key and reserve the epochs of the new term.
     Elect(Election),
     /// Renew this grant.
     Renew(u64),
@@ -93,7 +93,7 @@
     Granted(u64),
     /// The election was won.
     Elected {
-        /// The epoch of the new leadership.
+        /// The first epoch of the new term.
         epoch: Epoch,
         /// The version of the leader key.
         version: u64,
@@ -168,7 +168,7 @@
         }
     }
 
-    /// Returns the epoch of this controller's leadership, if it leads.
+    /// Returns the first epoch of this controller's term, if it leads.
     pub fn epoch(&self) -> Option<Epoch> {
         match self.state {
             LeaseState::Leading { epoch, .. } => Some(epoch),
--- a/src/leadership_keys.rs
+++ b/src/leadership_keys.rs
@@ -19,7 +19,7 @@
 pub const LEADER_KEY: &str = "g/l/leader";
 /// The leader key from format 1 on, held by the leader while its grant is valid.
 pub const LEASE_KEY: &str = "g/l/lease";
-/// The last epoch that was used.
+/// The last epoch that is reserved for a term.
 pub const EPOCH_KEY: &str = "g/l/epoch";
 /// The leader that versions before format 1 see from format 1 on. No controller has this id, so a
 /// controller that is rolled back to such a version follows and can't be elected: it could not read
@@ -31,7 +31,7 @@
 pub struct LeaderKey {
     /// The leader's id in the cluster.
     pub member: String,
-    /// The epoch of its leadership.
+    /// The first epoch of its term.
     pub epoch: Epoch,
 }
 
--- a/src/machine/heartbeat_responses.rs
+++ b/src/machine/heartbeat_responses.rs
@@ -5,9 +5,7 @@
 //! were responded to is suspected as well. Both suspicions end when the same incarnation lasts
 //! longer than a lease.
 
-use std::sync::Arc;
-
-use super::tasks::ReportedTask;
+use super::tasks::{ReportedTask, TaskAttempt};
 use crate::epoch::Epoch;
 use crate::wire::AgentStatus;
 use crate::wire::Incarnation;
@@ -22,36 +20,21 @@
     /// The agent has seen this epoch.
     Epoch(Epoch),
     /// A task that the response told it to start is present.
-    Started {
-        /// The id of the task's job.
-        job: Arc<str>,
-        /// The task's number in its job.
-        task: u32,
-        /// The attempt of the task.
-        attempt: u64,
-    },
+    Started(TaskAttempt),
     /// An exited task that the response told it to clear is absent.
-    Cleared {
-        /// The id of the task's job.
-        job: String,
-        /// The task's number in its job.
-        task: u32,
-        /// The attempt of the task.
-        attempt: u64,
-    },
+    Cleared(TaskAttempt),
 }
 
 impl ExpectedEffect {
     fn is_shown_by(&self, status: &AgentStatus, reported_tasks: &[ReportedTask]) -> bool {
-        let has = |job: &str, task: u32, attempt: u64| {
-            reported_tasks.iter().any(|reported| {
-                reported.task == task && reported.attempt == attempt && reported.job == job
-            })
+        let has = |attempt: &TaskAttempt| {
+            let mut reported = reported_tasks.iter();
+            reported.any(|reported| attempt.is(reported))
         };
         match self {
             ExpectedEffect::Epoch(epoch) => status.epoch >= *epoch,
-            ExpectedEffect::Started { job, task, attempt } => has(job, *task, *attempt),
-            ExpectedEffect::Cleared { job, task, attempt } => !has(job, *task, *attempt),
+            ExpectedEffect::Started(attempt) => has(attempt),
+            ExpectedEffect::Cleared(attempt) => !has(attempt),
         }
     }
 }
--- a/src/machine/mod.rs
+++ b/src/machine/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! [`Machine`] makes no decisions: the scheduler decides what is placed on a machine and when
 //! the machine is terminated. `tasks` has the tasks on a machine, `heartbeat_responses` detects
-//! whether this controller's responses reach the agent, `image_cache` models the cached images,
-//! and `termination` has the reasons for a termination.
+//! whether this controller's responses reach the agent, `command_fence` keeps repeats of old
+//! commands from being executed, `image_cache` models the cached images, and `termination` has the reasons for a
+//! termination.
 
+mod command_fence;
 mod heartbeat_responses;
 mod image_cache;
 mod tasks;
@@ -19,11 +21,12 @@
 use crate::time_units::to_ms;
 use crate::wire::Incarnation;
 use crate::wire::{AgentStatus, MachineType};
+use command_fence::CommandFence;
 use heartbeat_responses::{ResponseEffect, ResponseTracker};
 
 pub use heartbeat_responses::{ExpectedEffect, ReachabilityCheck};
 pub use image_cache::ImageCache;
-pub use tasks::{BoundTask, ExitCause, ReportedTask, TaskPhase};
+pub use tasks::{BoundTask, ExitCause, ReportedTask, TaskAttempt, TaskPhase};
 pub use termination::{TerminationClass, TerminationReason};
 
 /// A machine's status in the cloud's list.
@@ -104,6 +107,7 @@
     pub unconfirmed_direct_start_at: Option<u64>,
     /// No direct starts are sent before this time, as a connection to the agent has failed.
     pub direct_starts_paused_until: u64,
+    command_fence: CommandFence,
     heartbeat_responses: ResponseTracker,
     /// Number of consecutive heartbeats without any expected effect of the preceding response.
     pub ineffective_responses: u32,
@@ -148,6 +152,7 @@
             last_probe_at: 0,
             unconfirmed_direct_start_at: None,
             direct_starts_paused_until: 0,
+            command_fence: CommandFence::default(),
             heartbeat_responses: ResponseTracker::default(),
             ineffective_responses: 0,
             reachability_unverified: false,
@@ -167,6 +172,9 @@
         if (status.incarnation, status.serial) <= (self.incarnation, self.serial) {
             return false;
         }
+        if status.incarnation > self.incarnation {
+            self.command_fence.on_new_incarnation();
+        }
         self.incarnation = status.incarnation;
         self.serial = status.serial;
         self.epoch = status.epoch;
@@ -281,6 +289,22 @@
         }
     }
 
+    /// The epoch of the next message to the agent, in the term that began with the epoch `term`.
+    pub fn command_epoch(&self, term: Epoch) -> Epoch {
+        self.command_fence.epoch(term)
+    }
+
+    /// Records starts that the next message to the agent carries.
+    pub fn record_sent_starts(&mut self, starts: &[TaskAttempt]) {
+        self.command_fence.record_starts(starts);
+    }
+
+    /// Raises the epoch of the next message, which clears these attempts, if that is needed for the
+    /// agent to reject repeats of their starts.
+    pub fn fence_starts(&mut self, cleared: &[TaskAttempt], term: Epoch) {
+        self.command_fence.fence(cleared, term);
+    }
+
     /// Records that the response to a heartbeat is sent.
     pub fn record_heartbeat_response(&mut self, now: u64) {
         self.heartbeat_responses.record_response(now);
--- a/src/machine/tasks.rs
+++ b/src/machine/tasks.rs
@@ -45,6 +45,35 @@
     UnknownTask,
 }
 
+/// An attempt of a task, which is started at most once on each machine, replacements in a gang
+/// excepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TaskAttempt {
+    /// The id of the task's job.
+    pub job: Arc<str>,
+    /// The task's number within its job, from 0.
+    pub task: u32,
+    /// The attempt of the task.
+    pub attempt: u64,
+}
+
+impl TaskAttempt {
+    /// Whether a reported task is this attempt.
+    pub(super) fn is(&self, reported: &ReportedTask) -> bool {
+        self.task == reported.task && self.attempt == reported.attempt && *self.job == *reported.job
+    }
+}
+
+impl From<&ReportedTask> for TaskAttempt {
+    fn from(reported: &ReportedTask) -> TaskAttempt {
+        TaskAttempt {
+            job: reported.job.as_str().into(),
+            task: reported.task,
+            attempt: reported.attempt,
+        }
+    }
+}
+
 /// A task in an agent's status.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ReportedTask {
--- a/src/scheduler/commands.rs
+++ b/src/scheduler/commands.rs
@@ -3,8 +3,9 @@
 use super::placement::{Placement, StartDelivery, StopRequest};
 use super::starts::{start_command, StartPermission};
 use super::{to_ms, Scheduler, COMMANDS_PER_MESSAGE_MAX};
+use crate::epoch::Epoch;
 use crate::job::task_name;
-use crate::machine::{ExitCause, ExpectedEffect, ReportedTask, TaskPhase};
+use crate::machine::{ExitCause, ExpectedEffect, ReportedTask, TaskAttempt, TaskPhase};
 use crate::wire::{self, AgentStatus, Command};
 
 /// Shortest interval between two sends of the same stop.
@@ -25,7 +26,15 @@
 }
 
 impl Scheduler {
-    /// Commands for the response to a heartbeat; starts only with permission.
+    /// The epoch of the next message to a machine's agent.
+    pub fn command_epoch(&self, machine: &str) -> Epoch {
+        let term = self.term.epoch;
+        let machine = self.machines.get(machine);
+        machine.map_or(term, |machine| machine.command_epoch(term))
+    }
+
+    /// Commands for the response to a heartbeat; starts only with permission. The response has the
+    /// epoch that [`Scheduler::command_epoch`] returns afterwards.
     pub fn heartbeat_response_commands(
         &mut self,
         status: &AgentStatus,
@@ -63,25 +72,31 @@
         response.commands
     }
 
-    /// Adds commands by which the agent forgets exited tasks.
-    fn add_clears(&self, name: &str, response: &mut ResponseBuilder) {
-        let Some(machine) = self.machines.get(name) else {
-            return;
-        };
-        for task in &machine.reported_tasks {
-            if !self.may_clear(task) || response.is_full() {
-                continue;
-            }
+    /// Adds commands by which the agent forgets exited tasks, and raises the epoch of the response
+    /// so that it also rejects repeats of their starts.
+    fn add_clears(&mut self, name: &str, response: &mut ResponseBuilder) {
+        let cleared = self.clearable_tasks(name);
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.fence_starts(&cleared, self.term.epoch);
+        }
+        for task in cleared {
             let clear = wire::clear_command(task_name(&task.job, task.task), task.attempt);
             response.commands.push(clear);
-            response.expected.push(ExpectedEffect::Cleared {
-                job: task.job.clone(),
-                task: task.task,
-                attempt: task.attempt,
-            });
+            response.expected.push(ExpectedEffect::Cleared(task));
         }
     }
 
+    /// The tasks that a machine's agent may forget, at most as many as a response may carry.
+    fn clearable_tasks(&self, name: &str) -> Vec<TaskAttempt> {
+        let Some(machine) = self.machines.get(name) else {
+            return vec![];
+        };
+        let reported = machine.reported_tasks.iter();
+        let clearable = reported.filter(|task| self.may_clear(task));
+        let clearable = clearable.take(COMMANDS_PER_MESSAGE_MAX);
+        clearable.map(TaskAttempt::from).collect()
+    }
+
     /// Whether the agent may forget a task: it has exited, and if it is done, this is committed to
     /// the job's record.
     fn may_clear(&self, task: &ReportedTask) -> bool {
@@ -129,11 +144,7 @@
         };
         for start in self.take_starts(name, delivery, now) {
             response.commands.push(start_command(&start));
-            response.expected.push(ExpectedEffect::Started {
-                job: start.job,
-                task: start.task,
-                attempt: start.attempt,
-            });
+            response.expected.push(ExpectedEffect::Started(start));
         }
     }
 }
--- a/src/scheduler/effects.rs
+++ b/src/scheduler/effects.rs
@@ -4,21 +4,12 @@
 use std::sync::Arc;
 
 use crate::cloud::MachineKind;
+use crate::epoch::Epoch;
 use crate::job::FinalState;
+use crate::machine::TaskAttempt;
 use crate::wire::Incarnation;
 use crate::wire::{Command, Condition, Write};
 
-/// A start command that is sent directly to an agent.
-#[derive(Debug, Clone, PartialEq)]
-pub struct DirectStart {
-    /// The id of the task's job.
-    pub job: Arc<str>,
-    /// The task's number within its job, from 0.
-    pub task: u32,
-    /// The task's attempt.
-    pub attempt: u64,
-}
-
 /// A request or write for the controller to perform.
 #[derive(Debug, Clone)]
 pub enum Effect {
@@ -41,12 +32,14 @@
         machine: Arc<str>,
         /// The agent's address.
         address: SocketAddr,
+        /// The epoch of the commands.
+        epoch: Epoch,
         /// The incarnation that the commands are for.
         incarnation: Incarnation,
         /// The commands; empty in a probe that only raises the agent's epoch.
         commands: Vec<Command>,
-        /// The starts among the commands.
-        starts: Vec<DirectStart>,
+        /// The attempts that the commands start.
+        starts: Vec<TaskAttempt>,
     },
     /// Request the status of an agent.
     Inspect {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -79,7 +79,7 @@
 use std::sync::Arc;
 
 pub use agent_status::{FreedCapacity, StatusOrigin};
-pub use effects::{DirectStart, Effect};
+pub use effects::Effect;
 pub use job::Job;
 pub use placement::Placement;
 pub use provisioning::ProvisioningOutcome;
@@ -114,7 +114,7 @@
 pub struct LeaderTerm {
     /// The leader's member id.
     pub member: String,
-    /// The term's fencing token.
+    /// The first of the epochs that are reserved for the term; it identifies the term.
     pub epoch: Epoch,
     /// The leader key in the store, which this controller owns while it leads.
     pub key: &'static str,
@@ -136,7 +136,7 @@
 /// The size of the scheduling state, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SchedulerSummary {
-    /// The fencing token of the term.
+    /// The first epoch of the term.
     pub epoch: Epoch,
     /// The number of jobs.
     pub jobs: usize,
@@ -243,11 +243,16 @@
         scheduler
     }
 
-    /// The fencing token of this term.
+    /// The first epoch of this term, which identifies it.
     pub fn epoch(&self) -> Epoch {
         self.term.epoch
     }
 
+    /// Whether an epoch that an agent has seen belongs to a later term.
+    pub fn is_fenced_by(&self, seen: Epoch) -> bool {
+        seen > self.term.epoch.last_of_term()
+    }
+
     /// The condition of each of the leader's writes: the leader key still has this term's version.
     pub fn term_condition(&self) -> Condition {
         Condition::new(self.term.key, self.term.key_version)
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -4,9 +4,9 @@
 use std::fmt;
 use std::sync::Arc;
 
-use super::DirectStart;
+use crate::epoch::Epoch;
 use crate::job::task_name;
-use crate::machine::TaskPhase;
+use crate::machine::{TaskAttempt, TaskPhase};
 use crate::wire::Incarnation;
 
 /// Identifies a task by its job and its number.
@@ -53,8 +53,12 @@
     },
     /// Directly to the agent, and not repeated while the outcome is unknown. Until a status shows
     /// the outcome, the command may still be executed, for as long as the agent's incarnation
-    /// lasts.
-    Direct { incarnation: Incarnation, at: u64 },
+    /// lasts and it has seen no higher epoch.
+    Direct {
+        incarnation: Incarnation,
+        epoch: Epoch,
+        at: u64,
+    },
 }
 
 /// A task that is bound to a machine: it may be on that machine, or may be started there.
@@ -139,7 +143,7 @@
     }
 
     /// Whether `start` is this placement's direct start and no status has shown its outcome yet.
-    pub(super) fn awaits_direct_start(&self, start: &DirectStart) -> bool {
+    pub(super) fn awaits_direct_start(&self, start: &TaskAttempt) -> bool {
         self.task == start.task
             && self.attempt == start.attempt
             && self.phase.is_none()
--- a/src/scheduler/probes.rs
+++ b/src/scheduler/probes.rs
@@ -47,6 +47,7 @@
             Effect::Commands {
                 machine: name,
                 address,
+                epoch: machine.command_epoch(self.epoch),
                 incarnation: machine.incarnation,
                 commands: vec![],
                 starts: vec![],
--- a/src/scheduler/starts.rs
+++ b/src/scheduler/starts.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use super::placement::{Placement, StartDelivery, TaskKey};
-use super::{to_ms, DirectStart, Effect, Scheduler};
+use super::{to_ms, Effect, Scheduler};
+use crate::epoch::Epoch;
 use crate::job::task_name;
-use crate::machine::Machine;
+use crate::machine::{Machine, TaskAttempt};
 use crate::wire;
 use crate::wire::Incarnation;
 
@@ -31,17 +32,19 @@
 /// Where direct commands for an agent are sent.
 struct AgentTarget {
     address: SocketAddr,
+    epoch: Epoch,
     incarnation: Incarnation,
 }
 
 impl AgentTarget {
-    /// `None` if the machine's agent has not sent a status yet.
-    fn of(machine: &Machine) -> Option<AgentTarget> {
+    /// `None` if the machine's agent has not sent a status yet. `term` is the term's first epoch.
+    fn of(machine: &Machine, term: Epoch) -> Option<AgentTarget> {
         let address = machine
             .address
             .filter(|_| machine.incarnation > Incarnation::NONE)?;
         Some(AgentTarget {
             address,
+            epoch: machine.command_epoch(term),
             incarnation: machine.incarnation,
         })
     }
@@ -63,7 +66,7 @@
     pub fn on_start_failed(
         &mut self,
         machine: &str,
-        starts: &[DirectStart],
+        starts: &[TaskAttempt],
         failure: StartFailure,
         now: u64,
     ) {
@@ -116,7 +119,7 @@
         name: &str,
         delivery: StartDelivery,
         now: u64,
-    ) -> Vec<DirectStart> {
+    ) -> Vec<TaskAttempt> {
         self.start_queue.remove(name);
         let Some(machine) = self.machines.get(name) else {
             return vec![];
@@ -143,12 +146,15 @@
                 continue;
             }
             placement.on_start_sent(delivery, now);
-            starts.push(DirectStart {
+            starts.push(TaskAttempt {
                 job: bound_task.job.clone(),
                 task: bound_task.task,
                 attempt: bound_task.attempt,
             });
         }
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.record_sent_starts(&starts);
+        }
         starts
     }
 
@@ -165,6 +171,7 @@
             };
             let delivery = StartDelivery::Direct {
                 incarnation: target.incarnation,
+                epoch: target.epoch,
                 at: now,
             };
             let starts = self.take_starts(&name, delivery, now);
@@ -178,6 +185,7 @@
             self.effects.push(Effect::Commands {
                 machine: name,
                 address: target.address,
+                epoch: target.epoch,
                 incarnation: target.incarnation,
                 commands: starts.iter().map(start_command).collect(),
                 starts,
@@ -189,7 +197,7 @@
     /// machine may not get tasks now.
     fn direct_start_target(&self, name: &str, now: u64) -> Option<AgentTarget> {
         let machine = self.machines.get(name)?;
-        let target = AgentTarget::of(machine)?;
+        let target = AgentTarget::of(machine, self.term.epoch)?;
         let is_usable =
             now >= machine.direct_starts_paused_until && self.accepts_tasks(machine, now);
         is_usable.then_some(target)
@@ -201,13 +209,14 @@
             let Some(machine) = self.machines.get(&*name) else {
                 continue;
             };
-            let Some(target) = AgentTarget::of(machine) else {
+            let Some(target) = AgentTarget::of(machine, self.term.epoch) else {
                 continue;
             };
             commands.truncate(super::COMMANDS_PER_MESSAGE_MAX);
             self.effects.push(Effect::Commands {
                 machine: name,
                 address: target.address,
+                epoch: target.epoch,
                 incarnation: target.incarnation,
                 commands,
                 starts: vec![],
@@ -217,6 +226,6 @@
 }
 
 /// The command that starts a task on its agent.
-pub(super) fn start_command(start: &DirectStart) -> wire::Command {
+pub(super) fn start_command(start: &TaskAttempt) -> wire::Command {
     wire::start_command(task_name(&start.job, start.task), start.attempt)
 }
--- a/src/scheduler/task_observation.rs
+++ b/src/scheduler/task_observation.rs
@@ -85,7 +85,13 @@
             let is_later = (status.incarnation, status.serial) > (incarnation, serial);
             origin == StatusOrigin::Heartbeat && is_later
         }
-        // The network may delay a direct start for as long as the agent's incarnation lasts.
-        (_, Some(StartDelivery::Direct { incarnation, .. })) => status.incarnation > incarnation,
+        // The network may delay a direct start, but the agent rejects it once it has begun another
+        // incarnation or seen a higher epoch.
+        (
+            _,
+            Some(StartDelivery::Direct {
+                incarnation, epoch, ..
+            }),
+        ) => status.incarnation > incarnation || status.epoch > epoch,
     }
 }
--- a/src/watch_cache/mod.rs
+++ b/src/watch_cache/mod.rs
@@ -83,7 +83,7 @@
     pub leader_key: Option<VersionedLeaderKey>,
     /// The value of [`crate::leadership_keys::LEASE_KEY`].
     pub lease_key: Option<VersionedLeaderKey>,
-    /// The last epoch that was used.
+    /// The last epoch that is reserved for a term.
     pub epoch: Epoch,
     /// The version of [`crate::leadership_keys::EPOCH_KEY`]; 0 if it does not exist.
     pub epoch_version: u64,
@@ -135,7 +135,7 @@
     /// Applies an election that this controller has won, without waiting for the watch to report
     /// it. `version` is the revision of the election's transaction.
     pub fn apply_own_election(&mut self, key: LeaderKey, version: u64, fence: VersionFence) {
-        self.epoch = key.epoch;
+        self.epoch = key.epoch.last_of_term();
         self.epoch_version = version;
         let elected = VersionedLeaderKey { key, version };
         match fence {
--- a/tests/combined_failures/leader_changes.rs
+++ b/tests/combined_failures/leader_changes.rs
@@ -21,7 +21,7 @@
         let leader = sim.leader().expect("no controller leads");
         sim.faults.unanswered_reads.insert(leader);
         assert!(sim.run_until(2000, |sim| live_tasks_of(sim, "run-000001") > 0));
-        // A leader resigns when a heartbeat has an epoch that no leader has had.
+        // A leader resigns when a heartbeat has an epoch that is not reserved for its term.
         let body = wire::encode(&AgentStatus {
             machine: "m-009999".into(),
             endpoint: "10.1.0.1:9".into(),
@@ -30,7 +30,7 @@
             spot: false,
             incarnation: Incarnation::new(1),
             serial: 1,
-            epoch: Epoch::new(9),
+            epoch: Epoch::new(u64::MAX),
             interruption_in_s: None,
             tasks: vec![],
         });
--- a/tests/combined_failures/main.rs
+++ b/tests/combined_failures/main.rs
@@ -9,5 +9,6 @@
 mod load;
 mod machines;
 mod outages;
+mod repeats;
 mod support;
 mod user_requests;
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod agent_status;
 mod cloud;
+mod command_fence;
 mod duties;
 mod job;
 mod leader_lease;
