Duties: a repeat of the transaction that creates scaling requests fails

With them on and with repeats of requests that were carried out, a satisfied and removed scaling request was created again and served by up to four orders. The leader counted on machines that no longer exist, and machines were chosen for termination without its doing.

The conditions of that transaction, the leader key and "no such key", hold again once the request is removed. `docs/duty-leases.md` relied on the leader's not repeating it.

Fix: the transaction changes `g/l/requests` on condition of its last version, so that it can be carried out once. One is in flight at a time; up to four requests share it. Versions without the key ignore it, as all below `g/l/`.

--- a/src/controller/duties/scaling_requests.rs
+++ b/src/controller/duties/scaling_requests.rs
@@ -22,6 +22,9 @@
 /// Encoding overhead of each machine name, in addition to its length.
 const NAME_OVERHEAD_BYTES: usize = 4;
 const BYTES_PER_KB: f64 = 1024.0;
+/// Maximum number of requests that one transaction creates, so that it stays well below the store's
+/// limit for a transaction's size.
+const REQUESTS_PER_TRANSACTION_MAX: usize = 4;
 /// Maximum number of open provisioning requests; the leader writes no more until the holder
 /// has completed some.
 const OPEN_SCALE_OUT_REQUESTS_MAX: usize = 16;
@@ -113,17 +116,30 @@
         self.write_scaling_request(OrderKey { duty, request }, order);
     }
 
-    /// Writes a request in one transaction, which is not retried: a retry could create the
-    /// request again after it was satisfied.
     fn write_scaling_request(&mut self, key: OrderKey, order: Order) {
-        let epoch = self.epoch();
         let record = OrderRecord {
             order,
             phase: OrderPhase::Needed,
             since_ms: self.clock.wall_ms(),
         };
-        let changes = vec![RecordChange::set(key, record)];
-        let purpose = WritePurpose::ScalingRequest { epoch };
+        let request = RecordChange::set(key, record);
+        self.duties.requests.enqueue(request);
+        self.create_waiting_requests();
+    }
+
+    /// Creates waiting requests in one transaction, unless the previous one is in flight: each one
+    /// depends on the version of the key that the previous one has changed.
+    fn create_waiting_requests(&mut self) {
+        let writes_max = self.store_limits().txn_ops;
+        let requests_max = writes_max.saturating_sub(1).max(1);
+        let requests_max = requests_max.min(REQUESTS_PER_TRANSACTION_MAX);
+        let changes = self.duties.requests.begin_creation(requests_max);
+        if changes.is_empty() {
+            return;
+        }
+        let purpose = WritePurpose::ScalingRequest {
+            epoch: self.epoch(),
+        };
         self.write_as_leader(DutyWrite::new(purpose, changes));
     }
 
@@ -143,8 +159,12 @@
             }
         }
         if self.scheduler_in_epoch(epoch).is_some() {
+            self.duties.requests.end_creation();
             self.step_down_if_deposed(result);
         }
+        if self.scheduler.is_some() {
+            self.create_waiting_requests();
+        }
     }
 
     fn end_termination_writes(&mut self, change: &RecordChange, result: &CommitResult) {
--- a/src/controller/duties/writes.rs
+++ b/src/controller/duties/writes.rs
@@ -8,6 +8,7 @@
 use crate::controller::commits::WriteOwner;
 use crate::duties::{holder_key, order_key, OrderKey, OrderPhase, OrderRecord};
 use crate::epoch::Epoch;
+use crate::leadership_keys::REQUESTS_KEY;
 use crate::wire::{Condition, Write};
 use crate::write_queue::{CommitResult, WriteClass, WriteRequest};
 
@@ -40,7 +41,7 @@
 /// The purpose of a write of order records.
 #[derive(Debug, Clone)]
 pub(super) enum WritePurpose {
-    /// The leader writes a scaling request.
+    /// The leader creates scaling requests.
     ScalingRequest { epoch: Epoch },
     /// The leader removes a result that it has processed.
     ResultProcessed,
@@ -61,6 +62,13 @@
         DutyWrite { purpose, changes }
     }
 
+    /// The name of the last scaling request that the write creates.
+    fn last_created_request(&self) -> Option<&str> {
+        let creates = matches!(self.purpose, WritePurpose::ScalingRequest { .. });
+        let last = self.changes.last().filter(|_| creates)?;
+        Some(&last.key.request)
+    }
+
     /// Whether the write is conditional on the leader's term.
     pub(crate) fn requires_leadership(&self) -> bool {
         let purpose = &self.purpose;
@@ -104,6 +112,11 @@
                 None => Write::delete(name),
             });
         }
+        if let Some(request) = write.last_created_request() {
+            let version = self.watch_cache.requests_version;
+            conditions.push(Condition::new(REQUESTS_KEY, version));
+            writes.push(Write::set(REQUESTS_KEY.to_string(), request.into()));
+        }
         self.store.push_write(WriteRequest {
             owner: WriteOwner::Duty(Box::new(write)),
             conditions,
@@ -141,6 +154,9 @@
     ) {
         match result {
             CommitResult::Committed { revision } => {
+                if write.last_created_request().is_some() {
+                    self.watch_cache.apply_requests_change(*revision);
+                }
                 let duties = &mut self.watch_cache.duties;
                 for change in &write.changes {
                     duties.apply_own_write(&change.key, change.record.clone(), *revision);
--- a/src/leadership_keys.rs
+++ b/src/leadership_keys.rs
@@ -21,6 +21,10 @@
 pub const LEASE_KEY: &str = "g/l/lease";
 /// The last epoch that is reserved for a term.
 pub const EPOCH_KEY: &str = "g/l/epoch";
+/// Changed by each transaction in which the leader creates scaling requests, on condition that it
+/// has its last version: a repeat of the transaction fails, even if the requests have been removed
+/// since. The value is the name of the last request.
+pub const REQUESTS_KEY: &str = "g/l/requests";
 /// The leader that versions before format 1 see from format 1 on. No controller has this id, so a
 /// controller that is rolled back to such a version follows and can't be elected: it could not read
 /// the records.
--- a/src/watch_cache/keys.rs
+++ b/src/watch_cache/keys.rs
@@ -1,7 +1,7 @@
 //! The key space of the store: the prefixes, the names and the kinds of keys.
 
 use crate::duties::DUTIES_PREFIX;
-use crate::leadership_keys::{EPOCH_KEY, FORMAT_KEY, LEADER_KEY, LEASE_KEY};
+use crate::leadership_keys::{EPOCH_KEY, FORMAT_KEY, LEADER_KEY, LEASE_KEY, REQUESTS_KEY};
 
 /// Prefix of all keys of this service.
 pub const ROOT_PREFIX: &str = "g/";
@@ -63,6 +63,8 @@
     Format,
     /// [`EPOCH_KEY`]
     Epoch,
+    /// [`REQUESTS_KEY`]
+    Requests,
     /// A key that this version does not know.
     Other,
 }
@@ -90,6 +92,7 @@
             LEASE_KEY => KeyKind::LeaderKey(LeaderKeyName::Lease),
             FORMAT_KEY => KeyKind::Format,
             EPOCH_KEY => KeyKind::Epoch,
+            REQUESTS_KEY => KeyKind::Requests,
             _ => KeyKind::Other,
         }
     }
--- a/src/watch_cache/mod.rs
+++ b/src/watch_cache/mod.rs
@@ -91,6 +91,8 @@
     pub format: u64,
     /// The version of [`crate::leadership_keys::FORMAT_KEY`]; 0 if it does not exist.
     pub format_version: u64,
+    /// The version of [`crate::leadership_keys::REQUESTS_KEY`]; 0 if it does not exist.
+    pub requests_version: u64,
     /// The controllers that have announced that they run this version, or a later one.
     pub members: BTreeSet<String>,
     /// The records of duties.
@@ -112,6 +114,7 @@
         self.lease_key = None;
         self.epoch = Epoch::NONE;
         self.epoch_version = 0;
+        self.requests_version = 0;
         self.duties.clear_for_reload();
         self.dependencies = DependencyGraph::default();
         self.dependency_events.clear();
@@ -220,6 +223,7 @@
             }
             KeyKind::Format => self.apply_format(value, version),
             KeyKind::Epoch => self.apply_epoch(value, version),
+            KeyKind::Requests => self.apply_requests_change(version),
             KeyKind::Other => {}
         }
         None
@@ -303,6 +307,12 @@
         }
     }
 
+    /// Applies a change of [`crate::leadership_keys::REQUESTS_KEY`], which this controller may have
+    /// made itself.
+    pub fn apply_requests_change(&mut self, version: u64) {
+        self.requests_version = version.max(self.requests_version);
+    }
+
     fn apply_delete(&mut self, key: &str, version: u64) -> Option<CacheEvent> {
         match KeyKind::of(key) {
             KeyKind::Job { id } => {
@@ -318,6 +328,7 @@
             | KeyKind::Member { .. }
             | KeyKind::Format
             | KeyKind::Epoch
+            | KeyKind::Requests
             | KeyKind::Other => None,
         }
     }
--- a/tests/duties/random_failures.rs
+++ b/tests/duties/random_failures.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::common::{CloudOrderBehavior, ControllerClocks, Sim, WriteBehavior};
+use crate::common::{CloudOrderBehavior, ControllerClocks, Repeats, Sim, WriteBehavior};
 use crate::support::{finish_and_check_duties, submit, FENCES};
 
 const SEED_COUNT: u64 = 24;
@@ -70,3 +70,27 @@
         sim.end_outage();
     }
 }
+
+/// Every request that was carried out arrives again, also after its sender's end: an order record
+/// that was created and removed must not lead to a second order.
+#[test]
+fn repeats_of_carried_out_requests_lead_to_no_second_order() {
+    for seed in 0..SEED_COUNT {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut sim = Sim::with_duties(FENCES[seed as usize % 2]);
+        sim.faults.repeats = Repeats {
+            after_ms: (0..3).map(|_| rng.random_range(1..60_000)).collect(),
+            after_crash_ms: (0..3).map(|_| rng.random_range(1..9000)).collect(),
+        };
+        for round in 0..ROUNDS_PER_SEED {
+            let shape = ["sweep", "group"][rng.random_range(0..2)];
+            submit(&mut sim, round, shape, 2, 6.0);
+            if rng.random_bool(0.3) {
+                let restart_after_ms = rng.random_range(100..12_000);
+                sim.crash(rng.random_range(0..3), restart_after_ms);
+            }
+            sim.run(rng.random_range(500..20_000));
+        }
+        finish_and_check_duties(&mut sim, ControllerClocks::Reliable);
+    }
+}
