--- a/src/controller/stats.rs
+++ b/src/controller/stats.rs
@@ -94,6 +94,8 @@
                 placed_tasks = summary.placed_tasks,
                 machines = summary.machines,
                 machines_up = summary.machines_up,
+                preemptions_by_priority = summary.preemptions.by_priority,
+                preemptions_by_nominal_quota = summary.preemptions.by_nominal_quota,
                 "leader status"
             );
         }
--- a/src/plan/cycle/decision_builder.rs
+++ b/src/plan/cycle/decision_builder.rs
@@ -1,7 +1,8 @@
 //! Builds the [`Decision`] of a cycle: translates machine indexes into machine names.
 
 use crate::plan::decision::{
-    Decision, PlannedPlacement, PlannedPreemption, PlannedReservation, TaskBinding, UnmetDemand,
+    Decision, PlannedPlacement, PlannedPreemption, PlannedReservation, PreemptionReason,
+    TaskBinding, UnmetDemand,
 };
 use crate::plan::fleet::Fleet;
 use crate::plan::resources::Resources;
@@ -61,6 +62,11 @@
                 task: view.task,
                 machine: fleet.machine_name(victim.machine),
                 preemptor: job.id.clone(),
+                reason: if view.priority < job.spec.priority {
+                    PreemptionReason::HigherPriority
+                } else {
+                    PreemptionReason::NominalQuota
+                },
             });
         }
         for assigned in &assignment.tasks {
--- a/src/plan/cycle/state.rs
+++ b/src/plan/cycle/state.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeSet;
 
 use crate::plan::cost::CostModel;
-use crate::plan::fleet::{Earmarks, Fleet, FleetView, TaskIndex};
+use crate::plan::fleet::{Earmarks, Fleet, FleetView, ReservedCapacity, TaskIndex};
 use crate::plan::indexes::FleetIndexes;
 use crate::plan::preemption::Preemptor;
 use crate::plan::resources::Resources;
 use crate::plan::search::{search, Assignment, SearchContext, SearchMode, SearchRequest};
-use crate::plan::snapshot::{JobView, Reservation, Snapshot};
+use crate::plan::snapshot::{JobView, Snapshot};
 
 /// The fleet with the decisions of the cycle applied so far.
 ///
@@ -90,10 +90,13 @@
             changed.insert(victim.machine);
         }
         for assigned in &assignment.tasks {
-            let reservation = Reservation {
+            let reservation = ReservedCapacity {
                 job: job.id.clone(),
                 resources: Resources::of(&job.spec),
-                priority: job.spec.priority,
+                precedence: self
+                    .fleet
+                    .quotas
+                    .precedence(&job.spec.team, job.spec.priority),
             };
             self.fleet.reservations.add(assigned.machine, reservation);
             changed.insert(assigned.machine);
@@ -176,8 +179,8 @@
     }
     fleet.prepare_image(&spec.image);
     let view = FleetView::new(fleet, earmarks);
-    let is_within_nominal_quota = fleet.quotas.is_within_nominal_quota(&spec.team);
-    let preemptor = Preemptor::new(request.job, is_within_nominal_quota);
+    let precedence = fleet.quotas.precedence(&spec.team, spec.priority);
+    let preemptor = Preemptor::new(request.job, precedence);
     indexes.prepare_image(view, &spec.image);
     if with_victims {
         indexes.prepare_candidates(view, &preemptor);
--- a/src/plan/decision.rs
+++ b/src/plan/decision.rs
@@ -23,6 +23,15 @@
     pub tasks: Vec<TaskBinding>,
 }
 
+/// Why a task may be preempted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PreemptionReason {
+    /// The preemptor has a higher priority.
+    HigherPriority,
+    /// The preemptor's team is within its nominal quota, and the victim's team borrows quota.
+    NominalQuota,
+}
+
 /// A task to be preempted.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlannedPreemption {
@@ -34,6 +43,8 @@
     pub machine: Arc<str>,
     /// The id of the job that the victim is preempted for.
     pub preemptor: Arc<str>,
+    /// Why the victim may be preempted.
+    pub reason: PreemptionReason,
 }
 
 /// Capacity to be reserved for a preemptor until the victims are stopped.
--- a/src/plan/fleet/mod.rs
+++ b/src/plan/fleet/mod.rs
@@ -21,6 +21,7 @@
 
 pub(super) use earmarks::Earmarks;
 pub(super) use images::ImageMachines;
+pub(super) use reservations::ReservedCapacity;
 pub(super) use view::FleetView;
 
 use super::cost::CostModel;
@@ -68,12 +69,13 @@
         teams: HashMap<String, TeamView>,
         costs: CostModel,
     ) -> Fleet {
+        let quotas = TeamQuotas::new(teams);
         Fleet {
             kinds: MachineKinds::new(&machines),
             images: ImageMap::default(),
-            quotas: TeamQuotas::new(teams),
+            reservations: Reservations::new(&machines, &quotas),
+            quotas,
             costs,
-            reservations: Reservations::new(&machines),
             free: machines.iter().map(|machine| machine.free).collect(),
             victims: vec![vec![]; machines.len()],
             machines_examined: Cell::new(0),
--- a/src/plan/fleet/view.rs
+++ b/src/plan/fleet/view.rs
@@ -2,10 +2,9 @@
 
 use std::sync::Arc;
 
-use super::{Earmarks, Fleet, TaskIndex};
-use crate::job::Priority;
+use super::{Earmarks, Fleet, ReservedCapacity, TaskIndex};
+use crate::plan::precedence::Precedence;
 use crate::plan::resources::Resources;
-use crate::plan::snapshot::Reservation;
 
 /// The read-only view of a fleet that a search uses.
 ///
@@ -36,16 +35,21 @@
     }
 
     /// The free capacity for a job: reservations of other jobs count as used, except those of
-    /// lower priority.
-    pub(crate) fn free_for(&self, machine: usize, job: &Arc<str>, priority: Priority) -> Resources {
-        self.free_excluding(machine, |reservation| {
-            reservation.job != *job && reservation.priority >= priority
+    /// lower precedence.
+    pub(crate) fn free_for(
+        &self,
+        machine: usize,
+        job: &Arc<str>,
+        precedence: Precedence,
+    ) -> Resources {
+        self.free_excluding(machine, |reserved| {
+            reserved.job != *job && reserved.precedence >= precedence
         })
     }
 
-    /// The free capacity for a job of this priority that has no reservation on the machine.
-    pub(crate) fn free_for_priority(&self, machine: usize, priority: Priority) -> Resources {
-        self.free_excluding(machine, |reservation| reservation.priority >= priority)
+    /// The free capacity for a job of this precedence that has no reservation on the machine.
+    pub(crate) fn free_for_precedence(&self, machine: usize, precedence: Precedence) -> Resources {
+        self.free_excluding(machine, |reserved| reserved.precedence >= precedence)
     }
 
     /// The free capacity with all reservations counted as used.
@@ -53,7 +57,11 @@
         self.free_excluding(machine, |_| true)
     }
 
-    fn free_excluding(&self, machine: usize, counts: impl Fn(&Reservation) -> bool) -> Resources {
+    fn free_excluding(
+        &self,
+        machine: usize,
+        counts: impl Fn(&ReservedCapacity) -> bool,
+    ) -> Resources {
         let mut free = self.fleet.free[machine];
         for reservation in self.fleet.reservations.on(machine) {
             if counts(reservation) {
--- a/src/plan/indexes/mod.rs
+++ b/src/plan/indexes/mod.rs
@@ -13,9 +13,9 @@
 pub(super) use preemption_candidates::{CandidateCost, CandidateIter, PreemptionCandidates};
 
 use super::fleet::FleetView;
+use super::precedence::Precedence;
 use super::preemption::Preemptor;
 use super::resources::Resources;
-use crate::job::Priority;
 
 /// The most lists of preemption candidates that are retained. Jobs of a class mostly have the
 /// same demand and can share a list, and each retained list has to be updated with each change.
@@ -32,9 +32,9 @@
     by_image: HashMap<Arc<str>, CapacityIndex>,
     /// Lists of preemption candidates, the oldest first.
     candidates: Vec<PreemptionCandidates>,
-    /// Machines with reservations, by the priority of the reserving job: jobs of a higher priority
-    /// may use the reserved capacity.
-    reserved: BTreeMap<Priority, BTreeSet<usize>>,
+    /// Machines with reservations, by the precedence of the reserving job: jobs of a higher
+    /// precedence may use the reserved capacity.
+    reserved: BTreeMap<Precedence, BTreeSet<usize>>,
 }
 
 impl FleetIndexes {
@@ -80,7 +80,7 @@
             machines.remove(&machine);
         }
         for reservation in view.fleet.reservations.on(machine) {
-            let machines = self.reserved.entry(reservation.priority).or_default();
+            let machines = self.reserved.entry(reservation.precedence).or_default();
             machines.insert(machine);
         }
     }
@@ -95,9 +95,12 @@
         &self.all
     }
 
-    /// Machines with reservations of jobs with a lower priority.
-    pub(super) fn reserved_below(&self, priority: Priority) -> impl Iterator<Item = usize> + '_ {
-        let lower = self.reserved.range(..priority);
+    /// Machines with reservations of jobs with a lower precedence.
+    pub(super) fn reserved_below(
+        &self,
+        precedence: Precedence,
+    ) -> impl Iterator<Item = usize> + '_ {
+        let lower = self.reserved.range(..precedence);
         lower.flat_map(|(_, machines)| machines.iter().copied())
     }
 
@@ -131,7 +134,7 @@
     }
 
     fn prepare_candidate_list(&mut self, view: FleetView, preemptor: &Preemptor) {
-        if preemptor.is_within_nominal_quota {
+        if preemptor.precedence.is_within_nominal_quota {
             // Each placement changes which teams borrow quota, so an existing list is outdated.
             self.candidates
                 .retain(|candidates| !candidates.applies_to(preemptor));
--- a/src/plan/indexes/preemption_candidates.rs
+++ b/src/plan/indexes/preemption_candidates.rs
@@ -76,7 +76,7 @@
     }
 
     fn cost_on(&self, view: FleetView, machine: usize) -> Option<Rank> {
-        let free = view.free_for_priority(machine, self.preemptor.spec.priority);
+        let free = view.free_for_precedence(machine, self.preemptor.precedence);
         let selector = VictimSelector::new(view, &self.preemptor);
         let choice = selector.choose(machine, free, &HashSet::new())?;
         Some(Rank::new(choice.cost_s))
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -9,7 +9,7 @@
 //! A module depends only on modules of its own layer and of lower ones, lowest first:
 //!
 //! 1. `resources`, `snapshot`, `decision`: the input and output of a cycle, public.
-//! 2. `cost`, `ranked_machine`, `queue_order`: pure functions and types on these.
+//! 2. `precedence`, `cost`, `ranked_machine`, `queue_order`: pure functions and types on these.
 //! 3. `fleet`: the cycle's view of the machines and teams. It owns what changes within a
 //!    cycle: free capacity, reservations, chosen victims, quota in use, earmarked capacity.
 //! 4. `preemption`: which tasks a job may preempt, and which victims have the lowest cost.
@@ -32,6 +32,7 @@
 mod decision;
 mod fleet;
 mod indexes;
+mod precedence;
 mod preemption;
 mod queue_order;
 mod ranked_machine;
@@ -41,8 +42,10 @@
 
 pub use cycle::run_cycle;
 pub use decision::{
-    Decision, PlannedPlacement, PlannedPreemption, PlannedReservation, TaskBinding, UnmetDemand,
+    Decision, PlannedPlacement, PlannedPreemption, PlannedReservation, PreemptionReason,
+    TaskBinding, UnmetDemand,
 };
+pub use precedence::Precedence;
 pub use resources::{estimated_fetch_s, Resources};
 pub use snapshot::{
     is_kind_allowed, lowest_preemptable_priority, tasks_per_zone_max, JobView, MachineView,
--- a/src/plan/preemption/victims.rs
+++ b/src/plan/preemption/victims.rs
@@ -48,7 +48,7 @@
         let preemptor = self.preemptor;
         let mut capacity = self
             .view
-            .free_for(machine, &preemptor.job, preemptor.spec.priority);
+            .free_for(machine, &preemptor.job, preemptor.precedence);
         if !self.has_no_victims(machine) {
             let tasks = &self.fleet.machine(machine).tasks;
             for (task, view) in tasks.iter().enumerate() {
@@ -145,17 +145,19 @@
         victims.iter().map(weighted_preemption_cost_s).sum::<f64>()
     }
 
-    /// Whether a task may be preempted: it has a lower priority, or its team borrows quota while
-    /// the preemptor's team is within its nominal quota.
+    /// Whether a task may be preempted: it has a lower precedence, and also a lower priority unless
+    /// its team borrows quota. So work within a nominal quota is preempted only for such work of a
+    /// higher priority.
     fn may_preempt(&self, task: TaskIndex) -> bool {
         let view = &self.fleet.machine(task.machine).tasks[task.task];
         let preemptor = self.preemptor;
-        let is_borrowing =
-            || *view.team != *preemptor.spec.team && self.fleet.quotas.borrows_quota(&view.team);
+        let quotas = &self.fleet.quotas;
+        let has_lower_precedence =
+            || quotas.precedence(&view.team, view.priority) < preemptor.precedence;
+        let is_borrowing = || quotas.borrows_quota(&view.team);
         view.preemptable
-            && view.job != preemptor.job
-            && (view.priority < preemptor.spec.priority
-                || (preemptor.is_within_nominal_quota && is_borrowing()))
+            && has_lower_precedence()
+            && (view.priority < preemptor.precedence.priority || is_borrowing())
             && !self.view.is_victim(task)
     }
 
@@ -163,7 +165,8 @@
     /// may.
     fn has_no_victims(&self, machine: usize) -> bool {
         let lowest = self.fleet.machine(machine).lowest_preemptable_priority;
-        let none_lower = lowest.is_none_or(|lowest| lowest >= self.preemptor.spec.priority);
-        !self.preemptor.is_within_nominal_quota && none_lower
+        let precedence = self.preemptor.precedence;
+        let none_lower = lowest.is_none_or(|lowest| lowest >= precedence.priority);
+        !precedence.is_within_nominal_quota && none_lower
     }
 }
--- a/src/plan/queue_order.rs
+++ b/src/plan/queue_order.rs
@@ -2,13 +2,12 @@
 
 use std::cmp::{Ordering, Reverse};
 
+use super::precedence::Precedence;
 use super::snapshot::{JobView, Snapshot};
-use crate::job::Priority;
 
 /// The sort key of a job, the most significant field first. Lower keys are scheduled first.
 struct OrderKey<'a> {
-    exceeds_nominal_quota: bool,
-    priority: Reverse<Priority>,
+    precedence: Reverse<Precedence>,
     /// Whether the job has missed all its objectives, so that further waiting does no harm.
     has_missed_objectives: bool,
     /// Seconds until the job has to start, plus the expected run time of its pending tasks;
@@ -20,14 +19,11 @@
 
 impl<'a> OrderKey<'a> {
     fn new(job: &'a JobView, snapshot: &Snapshot) -> OrderKey<'a> {
-        let team = snapshot.teams.get(&job.spec.team);
         // Schedules jobs with little remaining work first, so that more jobs meet their objectives.
         let work_s = job.pending.len() as f64 * job.spec.expected_s;
         let start_by_s = job.start_by_s.unwrap_or(job.ready_at_s);
         OrderKey {
-            exceeds_nominal_quota: !team
-                .is_some_and(super::snapshot::TeamView::is_within_nominal_quota),
-            priority: Reverse(job.spec.priority),
+            precedence: Reverse(precedence_of(job, snapshot)),
             has_missed_objectives: job.start_by_s.is_none() && !job.overdue,
             slack_s: if job.overdue {
                 f64::NEG_INFINITY
@@ -40,16 +36,8 @@
     }
 
     fn compare(&self, other: &OrderKey) -> Ordering {
-        let first = (
-            self.exceeds_nominal_quota,
-            self.priority,
-            self.has_missed_objectives,
-        );
-        let second = (
-            other.exceeds_nominal_quota,
-            other.priority,
-            other.has_missed_objectives,
-        );
+        let first = (self.precedence, self.has_missed_objectives);
+        let second = (other.precedence, other.has_missed_objectives);
         first
             .cmp(&second)
             .then(self.slack_s.total_cmp(&other.slack_s))
@@ -58,6 +46,16 @@
     }
 }
 
+fn precedence_of(job: &JobView, snapshot: &Snapshot) -> Precedence {
+    let priority = job.spec.priority;
+    let unknown_team = Precedence {
+        is_within_nominal_quota: false,
+        priority,
+    };
+    let team = snapshot.teams.get(&job.spec.team);
+    team.map_or(unknown_team, |team| team.precedence(priority))
+}
+
 /// Returns the indexes of the snapshot's jobs in queue order. Jobs of teams within their nominal
 /// quota come first, then jobs of higher priority, then jobs that can still meet an objective or
 /// are overdue, of these the overdue ones; the rest is ordered by slack plus work, then by age.
--- a/src/plan/search/scope.rs
+++ b/src/plan/search/scope.rs
@@ -39,7 +39,7 @@
         let fleet = context.view.fleet;
         let kind_allowed = fleet.allowed_kinds(&job.spec, zone);
         let own = fleet.reservations.machines_of(&job.id).iter().copied();
-        let lower = context.indexes.reserved_below(job.spec.priority);
+        let lower = context.indexes.reserved_below(context.preemptor.precedence);
         let machines_with_extra_capacity = own.chain(lower);
         let machines_with_extra_capacity =
             machines_with_extra_capacity.filter(|machine| kind_allowed[fleet.kinds.of(*machine)]);
@@ -77,8 +77,8 @@
 
     /// The free capacity of a machine for the job.
     pub(super) fn free_for(&self, machine: usize) -> Resources {
-        let job = self.job;
-        self.view.free_for(machine, &job.id, job.spec.priority)
+        let precedence = self.preemptor.precedence;
+        self.view.free_for(machine, &self.job.id, precedence)
     }
 
     /// The cost of fetching the image on a machine.
--- a/src/plan/snapshot.rs
+++ b/src/plan/snapshot.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
+use super::precedence::Precedence;
 use super::resources::{Resources, EPSILON, TASK_COUNT_MAX};
 use crate::job::{JobSpec, Priority};
 
@@ -36,8 +37,10 @@
 pub struct Reservation {
     /// The preemptor's job id.
     pub job: Arc<str>,
-    /// The reserved capacity; jobs of a higher priority may still use it.
+    /// The reserved capacity; jobs of a higher precedence may still use it.
     pub resources: Resources,
+    /// The name of the preemptor's team.
+    pub team: Arc<str>,
     /// The preemptor's priority.
     pub priority: Priority,
 }
@@ -150,6 +153,14 @@
         by_cpus.min(by_gpus) as u32
     }
 
+    /// The precedence of the team's jobs of a priority.
+    pub(super) fn precedence(&self, priority: Priority) -> Precedence {
+        Precedence {
+            is_within_nominal_quota: self.is_within_nominal_quota(),
+            priority,
+        }
+    }
+
     /// Whether the requests of all unfinished jobs fit into the nominal quota.
     pub(super) fn is_within_nominal_quota(&self) -> bool {
         (self.nominal_cpus > 0.0 || self.nominal_gpus > 0.0)
--- a/src/scheduler/decisions.rs
+++ b/src/scheduler/decisions.rs
@@ -3,9 +3,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use tracing::{debug, info};
+use tracing::debug;
 
 use super::placement::TaskKey;
+use super::preemptions::log_preemption;
 use super::snapshots::PlanTime;
 use super::{Job, Placement, Scheduler};
 use crate::machine::Machine;
@@ -35,7 +36,8 @@
         }
         for stop in &decision.preemptions {
             let task = TaskKey::new(&stop.job, stop.task);
-            info!(%task, preemptor = %stop.preemptor, "stopping task for preemption");
+            let repeats = self.preemptions.record(stop, now);
+            log_preemption(&task, stop, repeats);
             self.stop_gracefully(&task, now);
         }
         for reservation in decision.reservations {
@@ -69,6 +71,7 @@
         machine.reservations.push(Reservation {
             job: reservation.job,
             resources: reservation.resources,
+            team: job.spec.team.as_str().into(),
             priority: job.spec.priority,
         });
         machine.idle_since = None;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 //! | `MachineCatalog` | machine types that the cloud offers | `machine_catalog` |
 //! | `ProvisioningRequests` | open requests, machine kinds without capacity in the cloud | `provisioning` |
 //! | `Terminations` | terminations recorded in the store or confirmed by the cloud | `terminations` |
+//! | `Preemptions` | preemptions by reason, and recent ones of each task | `preemptions` |
 //! | `DirectCommands` | commands to send directly to agents | `direct_commands` |
 //! | `StartQueue` | machines with starts to send | `start_queue` |
 //! | `ArrivalRates` | how often jobs of each class arrive | `arrivals` |
@@ -51,6 +52,7 @@
 mod objectives;
 mod partition;
 mod placement;
+mod preemptions;
 mod probes;
 mod provisioning;
 mod quota_cache;
@@ -82,6 +84,7 @@
 pub use effects::Effect;
 pub use job::Job;
 pub use placement::Placement;
+pub use preemptions::PreemptionCounts;
 pub use provisioning::ProvisioningOutcome;
 pub use reachability::Reachability;
 pub use starts::{StartFailure, StartPermission};
@@ -99,6 +102,7 @@
 use dirty_jobs::DirtyJobs;
 use machine_catalog::MachineCatalog;
 use partition::PartitionDetector;
+use preemptions::Preemptions;
 use provisioning::ProvisioningRequests;
 use quota_cache::QuotaCache;
 use read_delay::ReadDelay;
@@ -146,6 +150,8 @@
     pub machines: usize,
     /// The number of machines that have sent a status in this term.
     pub machines_up: usize,
+    /// How many tasks were preempted in this term.
+    pub preemptions: PreemptionCounts,
 }
 
 /// The leader's scheduling state.
@@ -181,6 +187,7 @@
     provisioning: ProvisioningRequests,
     terminations: Terminations,
 
+    preemptions: Preemptions,
     direct_commands: DirectCommands,
     start_queue: StartQueue,
     effects: Vec<Effect>,
@@ -224,6 +231,7 @@
             has_machine_list: false,
             provisioning: ProvisioningRequests::default(),
             terminations: Terminations::default(),
+            preemptions: Preemptions::default(),
             direct_commands: DirectCommands::default(),
             start_queue: StartQueue::new(cluster.limits.cpu_share),
             effects: vec![],
@@ -303,6 +311,7 @@
             placed_tasks,
             machines: self.machines.len(),
             machines_up,
+            preemptions: self.preemptions.counts(),
         }
     }
 }
--- a/src/scheduler/records.rs
+++ b/src/scheduler/records.rs
@@ -116,6 +116,7 @@
     /// Removes a job that is no longer live.
     pub fn remove_job(&mut self, id: &str) {
         self.release_reservations(id);
+        self.preemptions.forget_job(id);
         self.quota_cache.invalidate();
         if let Some(job) = self.jobs.remove(id) {
             self.dependency_links.remove(&job);
--- a/tests/combined_failures/main.rs
+++ b/tests/combined_failures/main.rs
@@ -5,6 +5,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod guarantees;
 mod leader_changes;
 mod load;
 mod machines;
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -9,6 +9,7 @@
 mod leader_lease;
 mod machine;
 mod plan;
+mod preemption;
 mod scalability;
 mod scale_in;
 mod settings;
--- a/tests/unit/plan.rs
+++ b/tests/unit/plan.rs
@@ -57,6 +57,7 @@
     };
     let borrower = TeamView {
         cpus: 8.0,
+        requested_cpus: 8.0,
         nominal_cpus: 4.0,
         ..TeamView::default()
     };
--- a/tests/unit/support.rs
+++ b/tests/unit/support.rs
@@ -107,6 +107,7 @@
             gpus: 0.0,
             memory_gb: 1.0,
         },
+        team: "t".into(),
         priority,
     }
 }
