--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -32,7 +32,7 @@
 //! - send commands: `commands`, `starts`.
 //!
 //! Decisions that need no access to the scheduler are in modules of their own: `objectives`,
-//! `spot_queue`, `task_observation`, `termination_review`.
+//! `spot_availability`, `spot_queue`, `task_observation`, `termination_review`.
 
 mod agent_status;
 mod arrivals;
@@ -66,6 +66,7 @@
 mod scale_in;
 mod scale_out;
 mod snapshots;
+mod spot_availability;
 mod spot_queue;
 mod standby_capacity;
 mod start_queue;
--- a/src/scheduler/provisioning.rs
+++ b/src/scheduler/provisioning.rs
@@ -63,8 +63,17 @@
 pub(super) struct ProvisioningRequests {
     open: Vec<ProvisioningRequest>,
     last_number: u64,
-    /// When each refused kind of machine may be requested again.
-    sold_out_until: HashMap<MachineKind, u64>,
+    /// The last refusal of each refused kind of machine.
+    refusals: HashMap<MachineKind, Refusal>,
+}
+
+/// A refusal of a kind of machine.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    /// When the kind may be requested again.
+    retry_at: u64,
+    /// How long requests are paused after a refusal.
+    pause_ms: u64,
 }
 
 impl ProvisioningRequests {
@@ -156,18 +165,31 @@
             ?kind,
             "cloud has no capacity for this kind of machine; pausing requests for it"
         );
-        let until = now + to_ms(pause_s);
-        self.sold_out_until.insert(kind.clone(), until);
+        let pause_ms = to_ms(pause_s);
+        let refusal = Refusal {
+            retry_at: now + pause_ms,
+            pause_ms,
+        };
+        self.refusals.insert(kind.clone(), refusal);
     }
 
     /// Whether requests for a kind of machine are paused because the cloud refused one.
     pub(super) fn is_sold_out(&self, kind: &MachineKind, now: u64) -> bool {
-        self.sold_out_until.get(kind).is_some_and(|at| now < *at)
+        let refusal = self.refusals.get(kind);
+        refusal.is_some_and(|refusal| now < refusal.retry_at)
     }
 
     /// Whether the cloud has refused a kind of machine at any time in this term.
     pub(super) fn has_been_sold_out(&self, kind: &MachineKind) -> bool {
-        self.sold_out_until.contains_key(kind)
+        self.refusals.contains_key(kind)
+    }
+
+    /// Whether the cloud refused a kind of machine so lately that it has not been requested again
+    /// since, or only just: as many kinds are requested one after the other, not all of them are
+    /// paused at the same time.
+    pub(super) fn was_refused_lately(&self, kind: &MachineKind, now: u64) -> bool {
+        let refusal = self.refusals.get(kind);
+        refusal.is_some_and(|refusal| now < refusal.retry_at + refusal.pause_ms)
     }
 }
 
--- a/src/scheduler/scale_out.rs
+++ b/src/scheduler/scale_out.rs
@@ -75,17 +75,15 @@
     /// The demand for machines, hardest to satisfy first.
     fn demands(&self, unmet: &[UnmetDemand], time: PlanTime) -> Vec<Demand> {
         let mut demands = Vec::new();
-        let on_demand_tasks = self.spot_tasks_on_demand(time.wall_ms);
+        let on_demand_tasks = self.spot_tasks_on_demand(time);
         for unmet in unmet {
             let Some(job) = self.jobs.get(&*unmet.job).filter(|job| !job.cancelled) else {
                 continue;
             };
-            let on_demand = on_demand_tasks.get(&unmet.job);
-            let on_demand = on_demand.map_or(0, |tasks| unmet.count.min(*tasks));
-            let parts = [
-                (on_demand, self.operator.ordinary_price_ratio),
-                (unmet.count - on_demand, 0.0),
-            ];
+            let share = on_demand_tasks.get(&unmet.job);
+            let on_demand = share.map_or(0, |share| unmet.count.min(share.tasks));
+            let price_ratio = share.map_or(0.0, |share| share.price_ratio);
+            let parts = [(on_demand, price_ratio), (unmet.count - on_demand, 0.0)];
             for (count, on_demand_price_ratio) in parts.into_iter().filter(|part| part.0 > 0) {
                 demands.push(Demand {
                     spec: job.spec.clone(),
--- a/src/scheduler/spot_queue.rs
+++ b/src/scheduler/spot_queue.rs
@@ -1,22 +1,38 @@
 //! Selects spot tasks that may use on-demand machines, because the spot machines would take too
-//! long to work off the queue.
+//! long to work off the queue, or because no spot machine can be had for them.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use super::snapshots::PlanTime;
+use super::spot_availability::SpotAvailability;
 use super::{Job, Scheduler};
 use crate::cloud;
 use crate::plan::Resources;
 
+/// Price ratio of tasks for which no spot machine can be had: no price decides whether they run.
+const UNLIMITED_PRICE_RATIO: f64 = f64::INFINITY;
+
+/// The tasks of a spot job that may use on-demand machines.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OnDemandShare {
+    pub tasks: u32,
+    /// The most that such a machine may cost for each task, as a multiple of the lowest spot price
+    /// for each task.
+    pub price_ratio: f64,
+}
+
 /// A spot job with pending tasks.
 struct WaitingJob {
     id: Arc<str>,
     /// Time until it has to start to meet its deadline; infinite without a deadline.
     slack_s: f64,
     pending_tasks: f64,
+    /// Whether the job needs machines for all its tasks at a time.
+    is_gang: bool,
 }
 
-/// All live spot jobs.
+/// Live spot jobs.
 #[derive(Default)]
 struct SpotQueue {
     /// The jobs with pending tasks.
@@ -27,13 +43,25 @@
     work_s: f64,
     /// The total resources of these tasks.
     resources: Resources,
+    /// The number of tasks that are placed.
+    placed_tasks: f64,
+}
+
+/// The machines that work off a queue.
+struct Throughput {
+    /// How many tasks run at the same time.
+    task_slots: f64,
+    /// Whether no spot machine works off the queue, and the cloud has none.
+    has_no_spot_capacity: bool,
 }
 
 impl SpotQueue {
     fn add(&mut self, job: &Job, wall_ms: u64) {
         let pending_tasks = job.pending_count() as f64;
-        let tasks = pending_tasks + job.placements.len() as f64;
+        let placed_tasks = job.placements.len() as f64;
+        let tasks = pending_tasks + placed_tasks;
         self.tasks += tasks;
+        self.placed_tasks += placed_tasks;
         self.work_s += tasks * job.spec.expected_s;
         let resources = Resources::of(&job.spec);
         self.resources.add(resources.scaled(tasks));
@@ -46,22 +74,25 @@
                 id: job.id.clone(),
                 slack_s: until_deadline_s - job.spec.expected_s,
                 pending_tasks,
+                is_gang: job.is_gang(),
             });
         }
     }
 
+    /// The mean resources of a task. The queue must not be empty.
+    fn mean_resources(&self) -> Resources {
+        self.resources.scaled(1.0 / self.tasks)
+    }
+
     /// The number of tasks of each waiting job that have to run elsewhere so that no wait exceeds
-    /// `wait_max_s`; jobs with the least slack come first. `all_refused` tells whether the cloud
-    /// has refused every kind of spot machine.
-    fn excess_tasks(
-        mut self,
-        task_slots: f64,
-        wait_max_s: f64,
-        all_refused: impl FnOnce() -> bool,
-    ) -> HashMap<Arc<str>, u32> {
+    /// `wait_max_s`; jobs with the least slack come first.
+    fn excess_tasks(mut self, throughput: &Throughput, wait_max_s: f64) -> HashMap<Arc<str>, u32> {
+        let Throughput {
+            task_slots,
+            has_no_spot_capacity,
+        } = *throughput;
         let mean_s = self.work_s / self.tasks;
         self.waiting.sort_by(|a, b| a.slack_s.total_cmp(&b.slack_s));
-        let has_no_spot_capacity = task_slots == 0.0 && all_refused();
         let pending: f64 = self.waiting.iter().map(|job| job.pending_tasks).sum();
         let mut excess_left = (pending * mean_s / wait_max_s - task_slots).ceil();
         let mut tasks_ahead = 0.0;
@@ -71,7 +102,12 @@
             let exceeds_wait_max =
                 task_slots > 0.0 && tasks_ahead / task_slots * mean_s > wait_max_s;
             if excess_left > 0.0 && (has_no_spot_capacity || exceeds_wait_max) {
-                let count = job.pending_tasks.min(excess_left);
+                let needs_all = job.is_gang && has_no_spot_capacity;
+                let count = if needs_all {
+                    job.pending_tasks
+                } else {
+                    job.pending_tasks.min(excess_left)
+                };
                 excess_left -= count;
                 excess.insert(job.id, count as u32);
             }
@@ -81,24 +117,55 @@
 }
 
 impl Scheduler {
-    /// The number of tasks of each spot job that may use on-demand machines. These are the jobs
-    /// that would wait longer than `ordinary_wait_boots` boot times at the rate at which running
-    /// and incoming spot machines work off the queue; in total, as many tasks as bring the wait
+    /// The tasks of each spot job that may use on-demand machines. These are the jobs that would
+    /// wait longer than `ordinary_wait_boots` boot times; in total, as many tasks as bring the wait
     /// down to that limit.
-    pub(super) fn spot_tasks_on_demand(&self, wall_ms: u64) -> HashMap<Arc<str>, u32> {
-        let mut queue = SpotQueue::default();
+    ///
+    /// Jobs for which spot machines can be had wait at the rate at which running and incoming
+    /// ones work off the queue, and on-demand machines for them have a price limit. The other
+    /// jobs have only the machines that run their tasks now, and no price limit.
+    pub(super) fn spot_tasks_on_demand(&self, time: PlanTime) -> HashMap<Arc<str>, OnDemandShare> {
+        let availability = self.spot_availability(time.now);
+        let mut with_spot = SpotQueue::default();
+        let mut without_spot = SpotQueue::default();
         let jobs = self.jobs.values();
         for job in jobs.filter(|job| job.spec.spot && !job.cancelled && !job.waits_for_dependencies)
         {
-            queue.add(job, wall_ms);
-        }
-        if queue.waiting.is_empty() {
-            return HashMap::new();
+            let queue = if availability.is_available_for(&job.spec) {
+                &mut with_spot
+            } else {
+                &mut without_spot
+            };
+            queue.add(job, time.wall_ms);
         }
-        let mean_resources = queue.resources.scaled(1.0 / queue.tasks);
-        let task_slots = self.spot_task_slots(mean_resources);
+        let mut shares = HashMap::new();
+        let mut add_shares = |excess: HashMap<Arc<str>, u32>, price_ratio| {
+            let excess = excess.into_iter();
+            shares.extend(excess.map(|(job, tasks)| (job, OnDemandShare { tasks, price_ratio })));
+        };
         let wait_max_s = self.operator.ordinary_wait_boots * self.catalog.longest_boot_s();
-        queue.excess_tasks(task_slots, wait_max_s, || self.all_spot_refused())
+        if !with_spot.waiting.is_empty() {
+            let throughput = self.spot_throughput(&with_spot, &availability);
+            let excess = with_spot.excess_tasks(&throughput, wait_max_s);
+            add_shares(excess, self.operator.ordinary_price_ratio);
+        }
+        if !without_spot.waiting.is_empty() {
+            let throughput = Throughput {
+                task_slots: without_spot.placed_tasks,
+                has_no_spot_capacity: true,
+            };
+            let excess = without_spot.excess_tasks(&throughput, wait_max_s);
+            add_shares(excess, UNLIMITED_PRICE_RATIO);
+        }
+        shares
+    }
+
+    fn spot_throughput(&self, queue: &SpotQueue, availability: &SpotAvailability) -> Throughput {
+        let task_slots = self.spot_task_slots(queue.mean_resources());
+        Throughput {
+            task_slots,
+            has_no_spot_capacity: task_slots == 0.0 && availability.has_refused_all(),
+        }
     }
 
     /// The number of tasks of the mean size that fit on running and incoming spot machines, plus
@@ -133,10 +200,4 @@
             .map(|request| slots_on(&request.kind.machine_type) * request.count as f64);
         on_demand_tasks as f64 + present.sum::<f64>() + incoming.sum::<f64>()
     }
-
-    /// Whether the cloud has refused every kind of spot machine at some time in this term.
-    fn all_spot_refused(&self) -> bool {
-        let mut kinds = self.catalog.spot_kinds();
-        kinds.all(|kind| self.provisioning.has_been_sold_out(&kind))
-    }
 }
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -32,7 +32,7 @@
     #[serde(alias = "dear_wait_boots")]
     pub ordinary_wait_boots: f64,
     /// Highest price per task on such an on-demand machine, as a multiple of the price on the
-    /// cheapest spot machine.
+    /// cheapest spot machine. No limit for work for which no spot machine can be had.
     #[serde(alias = "dear_times")]
     pub ordinary_price_ratio: f64,
     /// Maximum backoff of a gang for which no capacity was found, in seconds.
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -14,6 +14,7 @@
 mod scale_in;
 mod settings;
 mod snapshots;
+mod spot;
 mod support;
 mod termination_check;
 mod watch_cache;
