Tests of sockets: try the next port if another process has taken the free one

Seen once in this work, while two test suites ran side by side on one machine: `a_turn_is_bounded_and_a_redirect_closes_the_connection` failed with "Address already in use". The test asks for a free port, gives it back and listens on it; in between another process can take it. Only that error is tried again, at most eight times; every check of the tests is as it was.

--- a/tests/processes/sockets.rs
+++ b/tests/processes/sockets.rs
@@ -1,7 +1,7 @@
 //! The event loop alone: how it divides the sockets, and how much it reads in a turn.
 
 use std::collections::HashSet;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -9,6 +9,9 @@
 
 use crate::http::{free_port, read_message};
 
+/// How many free ports are tried before a test fails.
+const PORTS_TRIED: usize = 8;
+
 /// Limits with which no idle connection is closed within a test.
 fn limits(fd_limit: usize, critical: HashSet<SocketAddr>) -> ConnectionLimits {
     ConnectionLimits {
@@ -19,12 +22,19 @@
     }
 }
 
-/// An event loop, and the address at which it serves users and agents.
-fn listen(limits: ConnectionLimits) -> (EventLoop, SocketAddr) {
-    let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+/// An event loop, and the address at which it serves users and agents. Another process may take
+/// the free port first; then the next one is tried.
+fn listen(limits: &ConnectionLimits) -> (EventLoop, SocketAddr) {
     let peers = SocketAddr::from(([127, 0, 0, 1], 0));
-    let event_loop = EventLoop::new(front, peers, limits).expect("the event loop cannot listen");
-    (event_loop, front)
+    for _ in 0..PORTS_TRIED {
+        let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        match EventLoop::new(front, peers, limits.clone()) {
+            Ok(event_loop) => return (event_loop, front),
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+            Err(error) => panic!("the event loop cannot listen: {error}"),
+        }
+    }
+    panic!("the event loop cannot listen: no port stays free");
 }
 
 /// Guards against running out of sockets: in a fleet of 1.5 times the usual size, after a mass
@@ -43,7 +53,7 @@
     let critical = TcpListener::bind(any).expect("cannot listen on a port");
     let critical_addresses =
         HashSet::from([critical.local_addr().expect("socket has no local address")]);
-    let (mut event_loop, front) = listen(limits(32, critical_addresses));
+    let (mut event_loop, front) = listen(&limits(32, critical_addresses));
     let mut serve_all = |sockets: &mut [TcpStream], path: &str| {
         for socket in sockets.iter_mut() {
             let text = format!("POST {path} HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
@@ -110,7 +120,7 @@
 /// the agents closed them. A turn must be bounded, and a 421 must close the connection.
 #[test]
 fn a_turn_is_bounded_and_a_redirect_closes_the_connection() {
-    let (mut event_loop, front) = listen(limits(400, HashSet::new()));
+    let (mut event_loop, front) = listen(&limits(400, HashSet::new()));
     let mut sockets: Vec<TcpStream> = (0..60)
         .map(|_| TcpStream::connect(front).expect("cannot connect"))
         .collect();
@@ -152,7 +162,7 @@
 /// machine would lose its connection just before its next heartbeat, and none would keep one.
 #[test]
 fn more_machines_than_sockets() {
-    let (mut event_loop, front) = listen(limits(64, HashSet::new()));
+    let (mut event_loop, front) = listen(&limits(64, HashSet::new()));
     let mut machines: Vec<Option<TcpStream>> = (0..90).map(|_| None).collect();
     let mut connections = Vec::new();
     for _ in 0..3 {
@@ -211,7 +221,7 @@
             let _ = socket.write_all(&vec![b'x'; length]);
         }
     });
-    let (mut event_loop, _) = listen(ConnectionLimits {
+    let (mut event_loop, _) = listen(&ConnectionLimits {
         reply_max_bytes: largest,
         ..limits(64, HashSet::from([to]))
     });
