--- a/src/machine/mod.rs
+++ b/src/machine/mod.rs
@@ -3,8 +3,8 @@
 //! [`Machine`] makes no decisions: the scheduler decides what is placed on a machine and when
 //! the machine is terminated. `tasks` has the tasks on a machine, `heartbeat_responses` detects
 //! whether this controller's responses reach the agent, `command_fence` keeps repeats of old
-//! commands from being executed, `image_cache` models the cached images, and `termination` has the reasons for a
-//! termination.
+//! commands from being executed, `image_cache` models the cached images, and `termination` has
+//! the reasons for a termination.
 
 mod command_fence;
 mod heartbeat_responses;
--- a/tests/unit/preemption.rs
+++ b/tests/unit/preemption.rs
@@ -220,7 +220,7 @@
         let decision = run_cycle(self.snapshot());
         let had_reservations = self.reservations.iter().any(|held| !held.is_empty());
         let is_quiet = decision.placements.is_empty() && decision.preemptions.is_empty();
-        // Victims exit before the next cycle: a reservation that its job does not use then is stale.
+        // Victims exit before the next cycle; a reservation that is not used then is stale.
         self.reservations.iter_mut().for_each(Vec::clear);
         for placement in &decision.placements {
             for binding in &placement.tasks {
