--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -29,18 +29,29 @@
                 continue;
             }
             let shared = shared.clone();
-            let _ = std::thread::Builder::new().stack_size(128 * 1024).spawn(move || {
-                if now == Link::Held {
-                    std::thread::sleep(Duration::from_secs(20));
-                    return;
-                }
-                let Ok(server) = TcpStream::connect_timeout(&target, Duration::from_millis(500)) else { return };
-                let (Ok(client2), Ok(server2)) = (client.try_clone(), server.try_clone()) else { return };
-                let other = shared.clone();
-                let back = std::thread::Builder::new().stack_size(128 * 1024).spawn(move || pump(server2, client2, &other));
-                pump(client, server, &shared);
-                drop(back);
-            });
+            let _ = std::thread::Builder::new()
+                .stack_size(128 * 1024)
+                .spawn(move || {
+                    if now == Link::Held {
+                        std::thread::sleep(Duration::from_secs(20));
+                        return;
+                    }
+                    let Ok(server) =
+                        TcpStream::connect_timeout(&target, Duration::from_millis(500))
+                    else {
+                        return;
+                    };
+                    let (Ok(client2), Ok(server2)) = (client.try_clone(), server.try_clone())
+                    else {
+                        return;
+                    };
+                    let other = shared.clone();
+                    let back = std::thread::Builder::new()
+                        .stack_size(128 * 1024)
+                        .spawn(move || pump(server2, client2, &other));
+                    pump(client, server, &shared);
+                    drop(back);
+                });
         }
     });
     PeerLink { link, address }
@@ -91,8 +102,12 @@
 
 /// The run command of the deploy file.
 fn run_command() -> Vec<String> {
-    let text = std::fs::read_to_string("deploy/service.toml").expect("deploy/service.toml; start in the repository's root");
-    let line = text.lines().find(|line| line.starts_with("run")).expect("a run line");
+    let text = std::fs::read_to_string("deploy/service.toml")
+        .expect("deploy/service.toml; start in the repository's root");
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("run"))
+        .expect("a run line");
     let command = line.split('"').nth(1).expect("a quoted command");
     command.split_whitespace().map(str::to_string).collect()
 }
@@ -107,9 +122,15 @@
         let front = |node: usize| SocketAddr::from(([127, 0, 0, 1], ports[node].0));
         let mesh = |node: usize| SocketAddr::from(([127, 0, 0, 1], ports[node].1));
         platform.lock().fronts = (0..nodes).map(front).collect();
-        let peers = (0..nodes).map(|_| (0..nodes).map(|to| peer_link(mesh(to))).collect()).collect();
-        let states = (0..nodes).map(|node| platform.state_address(node)).collect();
-        let clouds = (0..nodes).map(|node| platform.cloud_address(node)).collect();
+        let peers = (0..nodes)
+            .map(|_| (0..nodes).map(|to| peer_link(mesh(to))).collect())
+            .collect();
+        let states = (0..nodes)
+            .map(|node| platform.state_address(node))
+            .collect();
+        let clouds = (0..nodes)
+            .map(|node| platform.cloud_address(node))
+            .collect();
         let mut cluster = Cluster {
             platform,
             folder,
@@ -136,7 +157,10 @@
             .filter(|other| *other != node)
             .map(|other| {
                 let address = self.peers[node][other].address;
-                format!(r#"{{"member":"worker-{other}","zone":"{}","address":"{address}"}}"#, hall(other))
+                format!(
+                    r#"{{"member":"worker-{other}","zone":"{}","address":"{address}"}}"#,
+                    hall(other)
+                )
             })
             .collect();
         let teams: Vec<String> = config
@@ -146,7 +170,11 @@
                 format!(r#"{{"name":"{name}","cpus":{cpus:?},"cpus_max":{cpus_max:?},"gpus":{gpus:?},"gpus_max":{gpus_max:?}}}"#)
             })
             .collect();
-        let halls: Vec<String> = config.halls.iter().map(|hall| format!("{hall:?}")).collect();
+        let halls: Vec<String> = config
+            .halls
+            .iter()
+            .map(|hall| format!("{hall:?}"))
+            .collect();
         format!(
             r#"{{"member":"worker-{node}","zone":"{}","front":"127.0.0.1:{}","mesh_addr":"127.0.0.1:{}","known":[{}],
 "endpoints":{{"cloud":"{}","state":"{}"}},
@@ -183,11 +211,17 @@
 
     pub fn spawn(&mut self, node: usize) {
         let mut command = Command::new(&self.run[0]);
-        command.args(&self.run[1..]).arg(self.folder.join(format!("{node}.json")));
+        command
+            .args(&self.run[1..])
+            .arg(self.folder.join(format!("{node}.json")));
         let level = std::env::var("REVIEW_LOG").unwrap_or_else(|_| "info".into());
         command.env("LOG_LEVEL", level).stdout(Stdio::null());
         let log = std::env::var("REVIEW_LOG_DIR").ok().and_then(|dir| {
-            std::fs::OpenOptions::new().create(true).append(true).open(format!("{dir}/node-{node}.log")).ok()
+            std::fs::OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(format!("{dir}/node-{node}.log"))
+                .ok()
         });
         match log {
             Some(file) => command.stderr(file),
@@ -222,7 +256,10 @@
 
     fn signal(&self, node: usize, signal: &str) {
         if let Some(process) = &self.processes[node] {
-            let _ = Command::new("kill").arg(signal).arg(process.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(signal)
+                .arg(process.id().to_string())
+                .status();
             self.note(format!("node {node} gets {signal}"));
         }
     }
@@ -237,7 +274,10 @@
     pub fn ended_by_themselves(&mut self) -> Vec<usize> {
         let mut ended = Vec::new();
         for (node, process) in self.processes.iter_mut().enumerate() {
-            if process.as_mut().is_some_and(|process| matches!(process.try_wait(), Ok(Some(_)))) {
+            if process
+                .as_mut()
+                .is_some_and(|process| matches!(process.try_wait(), Ok(Some(_))))
+            {
                 ended.push(node);
             }
         }
@@ -271,7 +311,8 @@
 
     pub fn is_up(&self, node: usize) -> bool {
         let to = self.platform.lock().fronts[node];
-        call(to, "GET", "/up", &[], Duration::from_secs(1)).is_some_and(|answer| answer.status == 200)
+        call(to, "GET", "/up", &[], Duration::from_secs(1))
+            .is_some_and(|answer| answer.status == 200)
     }
 
     pub fn wait_up(&self, limit_s: f64) -> bool {
@@ -289,7 +330,9 @@
     pub fn finish(mut self, record: &str) -> ! {
         let ended = self.ended_by_themselves();
         for node in ended {
-            self.platform.lock().breaks("crash", format!("node {node} ended by itself"));
+            self.platform
+                .lock()
+                .breaks("crash", format!("node {node} ended by itself"));
         }
         for node in 0..self.processes.len() {
             self.thaw(node);
@@ -366,7 +409,14 @@
         self.lock().note(text);
     }
 
-    fn user_call(&self, node: usize, method: &str, path: &str, body: &[u8], limit_s: f64) -> Option<Message> {
+    fn user_call(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        limit_s: f64,
+    ) -> Option<Message> {
         let to = self.lock().fronts[node];
         call(to, method, path, body, S(limit_s))
     }
@@ -389,17 +439,28 @@
         let answer = self.user_call(node, "POST", "/work", &spec.encode(), 5.0);
         let status = answer.as_ref().map_or(0, |answer| answer.status);
         let body = answer.map_or(V::Null, |answer| decode(&answer.body).unwrap_or(V::Null));
-        self.note(format!("user -> node {node}: submit {id}: {status} {}", body.json()));
+        self.note(format!(
+            "user -> node {node}: submit {id}: {status} {}",
+            body.json()
+        ));
         let mut world = self.lock();
         let accepted_before = world.jobs[&id].told_accepted.is_some_and(|at| at < sent);
         match status {
             200 | 201 => {
-                world.jobs.get_mut(&id).expect("the job").told_accepted.get_or_insert(Instant::now());
+                world
+                    .jobs
+                    .get_mut(&id)
+                    .expect("the job")
+                    .told_accepted
+                    .get_or_insert(Instant::now());
                 world.judge(&id, body.get("status").text(), sent, node);
                 true
             }
             400 | 422 if accepted_before => {
-                world.breaks("forgotten", format!("a repeated submission of {id} gets {status}"));
+                world.breaks(
+                    "forgotten",
+                    format!("a repeated submission of {id} gets {status}"),
+                );
                 false
             }
             _ => false,
@@ -428,13 +489,22 @@
         let body = answer.map_or(V::Null, |answer| decode(&answer.body).unwrap_or(V::Null));
         let state = body.get("status").text().to_string();
         let mut world = self.lock();
-        world.note(format!("user -> node {node}: poll {id}: {status} {}", body.json()));
+        world.note(format!(
+            "user -> node {node}: poll {id}: {status} {}",
+            body.json()
+        ));
         let known = world.jobs.contains_key(id);
-        let accepted_before = world.jobs.get(id).is_some_and(|job| job.told_accepted.is_some_and(|at| at < sent));
+        let accepted_before = world
+            .jobs
+            .get(id)
+            .is_some_and(|job| job.told_accepted.is_some_and(|at| at < sent));
         match status {
             200 if !known => world.breaks("invented", format!("{id} gets 200")),
             200 => world.judge(id, &state, sent, node),
-            404 if accepted_before => world.breaks("forgotten", format!("accepted {id} gets 404 from node {node}")),
+            404 if accepted_before => world.breaks(
+                "forgotten",
+                format!("accepted {id} gets 404 from node {node}"),
+            ),
             _ => {}
         }
         (status, state)
@@ -449,8 +519,14 @@
         let status = answer.as_ref().map_or(0, |answer| answer.status);
         let body = answer.map_or(V::Null, |answer| decode(&answer.body).unwrap_or(V::Null));
         let mut world = self.lock();
-        world.note(format!("user -> node {node}: cancel {id}: {status} {}", body.json()));
-        let accepted_before = world.jobs.get(id).is_some_and(|job| job.told_accepted.is_some_and(|at| at < sent));
+        world.note(format!(
+            "user -> node {node}: cancel {id}: {status} {}",
+            body.json()
+        ));
+        let accepted_before = world
+            .jobs
+            .get(id)
+            .is_some_and(|job| job.told_accepted.is_some_and(|at| at < sent));
         if status == 404 && accepted_before {
             world.breaks("forgotten", format!("cancel of accepted {id} gets 404"));
         }
@@ -480,33 +556,68 @@
 impl World {
     /// Judges an answer about a job by what was answered before it was asked.
     pub fn judge(&mut self, id: &str, state: &str, sent: Instant, node: usize) {
-        let Some(job) = self.jobs.get(id).cloned() else { return };
-        let needs: Vec<String> = job.spec.get("waitsOn").list().iter().map(|other| other.text().to_string()).collect();
+        let Some(job) = self.jobs.get(id).cloned() else {
+            return;
+        };
+        let needs: Vec<String> = job
+            .spec
+            .get("waitsOn")
+            .list()
+            .iter()
+            .map(|other| other.text().to_string())
+            .collect();
         let may_be_cancelled = job.asked_cancel || self.any_cancelled(&needs);
         let was_done = job.told_done.is_some_and(|at| at < sent);
         let was_cancelled = job.told_cancelled.is_some_and(|at| at < sent);
         match state {
             "done" => {
                 if was_cancelled {
-                    self.breaks("went_back", format!("{id} was withdrawn, node {node} says done"));
+                    self.breaks(
+                        "went_back",
+                        format!("{id} was withdrawn, node {node} says done"),
+                    );
                 }
                 if job.done.len() as u64 != job.pieces() {
-                    self.breaks("not_done", format!("{id} is called done with {} of {} tasks done", job.done.len(), job.pieces()));
+                    self.breaks(
+                        "not_done",
+                        format!(
+                            "{id} is called done with {} of {} tasks done",
+                            job.done.len(),
+                            job.pieces()
+                        ),
+                    );
                 }
-                self.jobs.get_mut(id).expect("the job").told_done.get_or_insert(Instant::now());
+                self.jobs
+                    .get_mut(id)
+                    .expect("the job")
+                    .told_done
+                    .get_or_insert(Instant::now());
             }
             "withdrawn" => {
                 if was_done {
-                    self.breaks("went_back", format!("{id} was done, node {node} says withdrawn"));
+                    self.breaks(
+                        "went_back",
+                        format!("{id} was done, node {node} says withdrawn"),
+                    );
                 }
                 if !may_be_cancelled {
-                    self.breaks("went_back", format!("{id} is called withdrawn, and nobody cancelled it"));
+                    self.breaks(
+                        "went_back",
+                        format!("{id} is called withdrawn, and nobody cancelled it"),
+                    );
                 }
-                self.jobs.get_mut(id).expect("the job").told_cancelled.get_or_insert(Instant::now());
+                self.jobs
+                    .get_mut(id)
+                    .expect("the job")
+                    .told_cancelled
+                    .get_or_insert(Instant::now());
             }
             "pending" | "running" => {
                 if was_done || was_cancelled {
-                    self.breaks("went_back", format!("{id} was over, node {node} says {state}"));
+                    self.breaks(
+                        "went_back",
+                        format!("{id} was over, node {node} says {state}"),
+                    );
                 }
             }
             _ => self.breaks("wrong_data", format!("{id}: status {state:?}")),
@@ -516,7 +627,13 @@
     fn any_cancelled(&self, ids: &[String]) -> bool {
         ids.iter().any(|id| {
             self.jobs.get(id).is_some_and(|job| {
-                let needs: Vec<String> = job.spec.get("waitsOn").list().iter().map(|other| other.text().to_string()).collect();
+                let needs: Vec<String> = job
+                    .spec
+                    .get("waitsOn")
+                    .list()
+                    .iter()
+                    .map(|other| other.text().to_string())
+                    .collect();
                 job.asked_cancel || self.any_cancelled(&needs)
             })
         })
@@ -534,7 +651,10 @@
         std::thread::sleep(S(limit_s));
         println!("the case took too long");
         for process in STARTED.lock().unwrap().iter() {
-            let _ = Command::new("kill").arg("-KILL").arg(process.to_string()).status();
+            let _ = Command::new("kill")
+                .arg("-KILL")
+                .arg(process.to_string())
+                .status();
         }
         std::process::exit(2);
     });
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -166,7 +166,9 @@
 impl Bucket {
     fn take(&mut self, rate: f64, count: f64) -> bool {
         let now = Instant::now();
-        let passed = self.at.map_or(1.0, |at| now.duration_since(at).as_secs_f64());
+        let passed = self
+            .at
+            .map_or(1.0, |at| now.duration_since(at).as_secs_f64());
         self.at = Some(now);
         self.tokens = (self.tokens + passed * rate).min(rate);
         let enough = self.tokens + 1e-9 >= count;
@@ -251,19 +253,34 @@
         (self.seed % 1_000_000) as f64 / 1_000_000.0
     }
     pub fn flavor(&self, sku: &str) -> Flavor {
-        self.config.flavors.iter().find(|flavor| flavor.sku == sku).expect("a flavor").clone()
+        self.config
+            .flavors
+            .iter()
+            .find(|flavor| flavor.sku == sku)
+            .expect("a flavor")
+            .clone()
     }
     /// The member that the state service has as leader.
     pub fn leader(&self) -> Option<usize> {
-        let key = ["g/l/lease", "g/l/leader"].iter().find_map(|key| self.store.keys.get(*key))?;
+        let key = ["g/l/lease", "g/l/leader"]
+            .iter()
+            .find_map(|key| self.store.keys.get(*key))?;
         let member = key.data.get("member").text().to_string();
         self.names.iter().position(|name| *name == member)
     }
     /// Tasks of a job that are on a machine: (machine, number).
     pub fn on_machines(&self, job: &str) -> Vec<(String, u64)> {
         let mut found = Vec::new();
-        for machine in self.machines.values().filter(|machine| machine.gone_at.is_none()) {
-            for task in machine.tasks.values().filter(|task| task.on_machine && task.job == job) {
+        for machine in self
+            .machines
+            .values()
+            .filter(|machine| machine.gone_at.is_none())
+        {
+            for task in machine
+                .tasks
+                .values()
+                .filter(|task| task.on_machine && task.job == job)
+            {
                 found.push((machine.name.clone(), task.number));
             }
         }
@@ -277,7 +294,10 @@
         let world = World {
             config,
             began: Instant::now(),
-            store: Store { rev: 1, ..Store::default() },
+            store: Store {
+                rev: 1,
+                ..Store::default()
+            },
             machines: BTreeMap::new(),
             next_machine: 1,
             bookings: HashMap::new(),
@@ -304,7 +324,10 @@
             log_reports: false,
             tokens: HashMap::new(),
         };
-        let platform = Platform { world: Arc::new(Mutex::new(world)), changed: Arc::new(Condvar::new()) };
+        let platform = Platform {
+            world: Arc::new(Mutex::new(world)),
+            changed: Arc::new(Condvar::new()),
+        };
         let ticking = platform.clone();
         std::thread::spawn(move || loop {
             std::thread::sleep(Duration::from_millis(20));
@@ -316,12 +339,19 @@
     }
 
     pub fn lock(&self) -> MutexGuard<'_, World> {
-        self.world.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.world
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     /// Waits while a link is held. `false`: the connection was opened while it was held, so it
     /// never came about.
-    fn pass(&self, link: impl Fn(&World) -> Link, accepted: Instant, held_since: &Mutex<Option<Instant>>) -> bool {
+    fn pass(
+        &self,
+        link: impl Fn(&World) -> Link,
+        accepted: Instant,
+        held_since: &Mutex<Option<Instant>>,
+    ) -> bool {
         loop {
             let is_held = link(&self.lock()) == Link::Held;
             let never_came_about = {
@@ -370,11 +400,15 @@
         let query = |name: &str| {
             let rest = request.path.split_once('?').map_or("", |parts| parts.1);
             let prefix = format!("{name}=");
-            rest.split('&').find_map(|part| part.strip_prefix(&prefix)).unwrap_or("").to_string()
+            rest.split('&')
+                .find_map(|part| part.strip_prefix(&prefix))
+                .unwrap_or("")
+                .to_string()
         };
         if path == "/watch" {
             let (under, from): (String, u64) = (query("under"), query("from").parse().unwrap_or(0));
-            let until = Instant::now() + Duration::from_millis(query("holdMs").parse().unwrap_or(0));
+            let until =
+                Instant::now() + Duration::from_millis(query("holdMs").parse().unwrap_or(0));
             let mut world = self.lock();
             if world.is_refused(node) {
                 return Some((503, V::Null));
@@ -394,9 +428,17 @@
                     return Some((200, body));
                 }
                 // In an outage, open watches stay open.
-                let wait = if now >= until { Duration::from_millis(50) } else { until - now };
+                let wait = if now >= until {
+                    Duration::from_millis(50)
+                } else {
+                    until - now
+                };
                 let wait = wait.min(Duration::from_millis(50));
-                world = self.changed.wait_timeout(world, wait).unwrap_or_else(std::sync::PoisonError::into_inner).0;
+                world = self
+                    .changed
+                    .wait_timeout(world, wait)
+                    .unwrap_or_else(std::sync::PoisonError::into_inner)
+                    .0;
                 if world.ended {
                     return None;
                 }
@@ -419,7 +461,8 @@
                     if world.is_refused(node) {
                         return None;
                     }
-                    let (status, _) = world.transaction(node, &decode(&request.body).unwrap_or(V::Null));
+                    let (status, _) =
+                        world.transaction(node, &decode(&request.body).unwrap_or(V::Null));
                     world.note(format!("node {node}: transaction carried out {wait:.1} s late, without an answer: {status}"));
                     self.changed.notify_all();
                     return None;
@@ -434,8 +477,11 @@
                     std::thread::sleep(S(wait));
                     let mut world = platform.lock();
                     if !world.state_out {
-                        let (status, _) = world.transaction(node, &decode(&body).unwrap_or(V::Null));
-                        world.note(format!("node {node}: a transaction arrives again after {wait:.1} s: {status}"));
+                        let (status, _) =
+                            world.transaction(node, &decode(&body).unwrap_or(V::Null));
+                        world.note(format!(
+                            "node {node}: a transaction arrives again after {wait:.1} s: {status}"
+                        ));
                         platform.changed.notify_all();
                     }
                 });
@@ -446,7 +492,10 @@
             let life = decode(&request.body).unwrap_or(V::Null).get("lifeMs").int();
             world.store.next_grant += 1;
             let id = world.store.next_grant;
-            world.store.grants.insert(id, (life, Instant::now() + Duration::from_millis(life)));
+            world
+                .store
+                .grants
+                .insert(id, (life, Instant::now() + Duration::from_millis(life)));
             return Some((200, map(&[("permit", i(id))])));
         }
         if let Some(rest) = path.strip_prefix("/grants/") {
@@ -479,17 +528,33 @@
                     truncated = true;
                     break;
                 }
-                pairs.push(map(&[("key", t(key)), ("data", kv.data.clone()), ("stamp", i(kv.stamp))]));
+                pairs.push(map(&[
+                    ("key", t(key)),
+                    ("data", kv.data.clone()),
+                    ("stamp", i(kv.stamp)),
+                ]));
             }
             let rev = world.store.rev;
-            let body = [("pairs", V::List(pairs)), ("truncated", V::Bool(truncated)), ("ledgerRev", i(rev))];
+            let body = [
+                ("pairs", V::List(pairs)),
+                ("truncated", V::Bool(truncated)),
+                ("ledgerRev", i(rev)),
+            ];
             return Some((200, map(&body)));
         }
         if let Some(key) = path.strip_prefix("/kv/") {
             return Some(match world.store.keys.get(key) {
                 Some(kv) => {
                     let permit = kv.permit.map_or(V::Null, i);
-                    (200, map(&[("key", t(key)), ("data", kv.data.clone()), ("stamp", i(kv.stamp)), ("permit", permit)]))
+                    (
+                        200,
+                        map(&[
+                            ("key", t(key)),
+                            ("data", kv.data.clone()),
+                            ("stamp", i(kv.stamp)),
+                            ("permit", permit),
+                        ]),
+                    )
                 }
                 None => (404, map(&[("ledgerRev", i(world.store.rev))])),
             });
@@ -542,7 +607,9 @@
             // A machine that hangs reads nothing until it goes on.
             loop {
                 let world = platform.lock();
-                let Some(machine) = world.machines.get(&own) else { return None };
+                let Some(machine) = world.machines.get(&own) else {
+                    return None;
+                };
                 if machine.gone_at.is_some() || world.ended {
                     return None;
                 }
@@ -552,12 +619,21 @@
                 drop(world);
                 std::thread::sleep(Duration::from_millis(10));
             }
-            let link = |world: &World| world.machines.get(&own).map_or(Link::Open, |machine| machine.commands);
+            let link = |world: &World| {
+                world
+                    .machines
+                    .get(&own)
+                    .map_or(Link::Open, |machine| machine.commands)
+            };
             if !platform.pass(link, accepted, &held) {
                 return None;
             }
             let mut world = platform.lock();
-            if world.machines.get(&own).is_none_or(|machine| machine.gone_at.is_some()) {
+            if world
+                .machines
+                .get(&own)
+                .is_none_or(|machine| machine.gone_at.is_some())
+            {
                 return None;
             }
             if request.path == "/inspect" {
@@ -585,7 +661,10 @@
             }
             let machine = world.machines.get_mut(&own)?;
             if epoch < machine.epoch || tenure != machine.tenure {
-                world.note(format!("{own}: 409 to a direct command with token {epoch}, session {tenure}: {}", body.get("orders").json()));
+                world.note(format!(
+                    "{own}: 409 to a direct command with token {epoch}, session {tenure}: {}",
+                    body.get("orders").json()
+                ));
                 return Some((409, world.report(&own)));
             }
             machine.dirty |= epoch > machine.epoch;
@@ -596,20 +675,26 @@
         });
         {
             let mut world = self.lock();
-            let Some(machine) = world.machines.get_mut(&name) else { return };
+            let Some(machine) = world.machines.get_mut(&name) else {
+                return;
+            };
             machine.endpoint = Some(endpoint);
             machine.answered_at = Instant::now();
             world.note(format!("{name} is up"));
         }
         let platform = self.clone();
-        let _ = std::thread::Builder::new().stack_size(256 * 1024).spawn(move || platform.run_worker(&name));
+        let _ = std::thread::Builder::new()
+            .stack_size(256 * 1024)
+            .spawn(move || platform.run_worker(&name));
     }
 
     /// A direct command that arrives late: it is executed if token and session still match.
     fn late_command(&self, name: &str, body: &V, wait: f64) {
         loop {
             let world = self.lock();
-            let Some(machine) = world.machines.get(name) else { return };
+            let Some(machine) = world.machines.get(name) else {
+                return;
+            };
             if machine.gone_at.is_some() || world.ended {
                 return;
             }
@@ -621,7 +706,9 @@
         }
         let mut world = self.lock();
         let (epoch, tenure) = (body.get("epoch").int(), body.get("tenure").int());
-        let Some(machine) = world.machines.get_mut(name) else { return };
+        let Some(machine) = world.machines.get_mut(name) else {
+            return;
+        };
         if epoch < machine.epoch || tenure != machine.tenure {
             return;
         }
@@ -653,7 +740,9 @@
                 if world.ended {
                     return;
                 }
-                let Some(machine) = world.machines.get_mut(name) else { return };
+                let Some(machine) = world.machines.get_mut(name) else {
+                    return;
+                };
                 if machine.gone_at.is_some() {
                     return;
                 }
@@ -665,8 +754,13 @@
                     machine.dirty = true;
                     let killed = std::mem::take(&mut machine.tasks);
                     let tenure = machine.tenure;
-                    let killed: Vec<String> = killed.keys().map(|key| format!("{}#{}", key.0, key.1)).collect();
-                    world.note(format!("{name}: lease over, session {tenure} begins; killed {killed:?}"));
+                    let killed: Vec<String> = killed
+                        .keys()
+                        .map(|key| format!("{}#{}", key.0, key.1))
+                        .collect();
+                    world.note(format!(
+                        "{name}: lease over, session {tenure} begins; killed {killed:?}"
+                    ));
                 }
                 let machine = world.machines.get_mut(name).expect("the machine");
                 let due = now >= next_at || (machine.dirty && now >= changes_from);
@@ -694,7 +788,13 @@
                 next_at = Instant::now();
                 continue;
             }
-            let answer = kept.call(to, "POST", "/checkin", &body.encode(), Duration::from_secs(4));
+            let answer = kept.call(
+                to,
+                "POST",
+                "/checkin",
+                &body.encode(),
+                Duration::from_secs(4),
+            );
             let mut world = self.lock();
             let strikes = world.repeat_reports;
             if let Some(wait) = world.chance(strikes) {
@@ -706,22 +806,30 @@
                     let _ = call(to, "POST", "/checkin", &copy, Duration::from_secs(4));
                 });
             }
-            let still_open = world.machines.get(name).is_some_and(|machine| machine.reports == Link::Open && machine.hung_until.is_none())
-                && world.worker_links[node] == Link::Open;
+            let still_open = world.machines.get(name).is_some_and(|machine| {
+                machine.reports == Link::Open && machine.hung_until.is_none()
+            }) && world.worker_links[node] == Link::Open;
             let answer = answer.filter(|_| still_open);
             let (status, body) = match &answer {
                 Some(answer) => (answer.status, decode(&answer.body).unwrap_or(V::Null)),
                 None => (0, V::Null),
             };
             let token = body.get("epoch").int();
-            world.report_answers.push((node, Instant::now(), status, token));
+            world
+                .report_answers
+                .push((node, Instant::now(), status, token));
             if world.log_reports {
                 world.note(format!("{name} -> node {node}: {status} {}", body.json()));
             }
             match status {
                 200 => {
-                    let Some(machine) = world.machines.get_mut(name) else { return };
-                    if sent.elapsed() < Duration::from_secs(4) && token >= machine.epoch && !body.get("epoch").is_null() {
+                    let Some(machine) = world.machines.get_mut(name) else {
+                        return;
+                    };
+                    if sent.elapsed() < Duration::from_secs(4)
+                        && token >= machine.epoch
+                        && !body.get("epoch").is_null()
+                    {
                         machine.dirty |= token > machine.epoch;
                         machine.epoch = token;
                         machine.answered_at = machine.answered_at.max(sent);
@@ -759,12 +867,21 @@
 
 impl Store {
     fn oldest(&self) -> u64 {
-        self.news.front().map_or(0, |change| change.stamp.saturating_sub(1))
+        self.news
+            .front()
+            .map_or(0, |change| change.stamp.saturating_sub(1))
     }
     fn changes(&self, under: &str, from: u64) -> Vec<V> {
-        let news = self.news.iter().filter(|change| change.stamp > from && change.key.starts_with(under));
+        let news = self
+            .news
+            .iter()
+            .filter(|change| change.stamp > from && change.key.starts_with(under));
         news.map(|change| match &change.data {
-            Some(data) => map(&[("set", t(&change.key)), ("data", data.clone()), ("stamp", i(change.stamp))]),
+            Some(data) => map(&[
+                ("set", t(&change.key)),
+                ("data", data.clone()),
+                ("stamp", i(change.stamp)),
+            ]),
             None => map(&[("drop", t(&change.key)), ("stamp", i(change.stamp))]),
         })
         .collect()
@@ -782,7 +899,11 @@
 
     fn push_change(&mut self, key: &str, data: Option<V>) {
         let stamp = self.store.rev;
-        self.store.news.push_back(Change { stamp, key: key.to_string(), data });
+        self.store.news.push_back(Change {
+            stamp,
+            key: key.to_string(),
+            data,
+        });
         while self.store.news.len() > self.config.history {
             self.store.news.pop_front();
         }
@@ -790,12 +911,22 @@
 
     fn expire_grants(&mut self) {
         let now = Instant::now();
-        let over: Vec<u64> =
-            self.store.grants.iter().filter(|(_, (_, at))| now >= *at).map(|(id, _)| *id).collect();
+        let over: Vec<u64> = self
+            .store
+            .grants
+            .iter()
+            .filter(|(_, (_, at))| now >= *at)
+            .map(|(id, _)| *id)
+            .collect();
         for id in over {
             self.store.grants.remove(&id);
-            let keys: Vec<String> =
-                self.store.keys.iter().filter(|(_, kv)| kv.permit == Some(id)).map(|(key, _)| key.clone()).collect();
+            let keys: Vec<String> = self
+                .store
+                .keys
+                .iter()
+                .filter(|(_, kv)| kv.permit == Some(id))
+                .map(|(key, _)| key.clone())
+                .collect();
             for key in keys {
                 self.store.rev += 1;
                 self.store.keys.remove(&key);
@@ -825,9 +956,13 @@
         let too_large = writes.len() as u64 > self.config.txn_ops
             || conditions.len() as u64 > 4 * self.config.txn_ops
             || body.json().len() > 64 * 1024
-            || writes.iter().any(|write| write.get("data").json().len() as f64 > limit);
+            || writes
+                .iter()
+                .any(|write| write.get("data").json().len() as f64 > limit);
         if too_large {
-            self.note(format!("state: node {node} gets 400, transaction too large"));
+            self.note(format!(
+                "state: node {node} gets 400, transaction too large"
+            ));
             return (400, map(&[("error", t("too large"))]));
         }
         for write in &writes {
@@ -845,7 +980,13 @@
             .map(|condition| condition.get("key").clone())
             .collect();
         if !failed.is_empty() {
-            return (409, map(&[("failed", V::List(failed)), ("ledgerRev", i(self.store.rev))]));
+            return (
+                409,
+                map(&[
+                    ("failed", V::List(failed)),
+                    ("ledgerRev", i(self.store.rev)),
+                ]),
+            );
         }
         if !writes.is_empty() {
             self.store.rev += 1;
@@ -870,7 +1011,14 @@
                     self.tokens.insert(member, data.get("epoch").int());
                 }
             }
-            self.store.keys.insert(key.clone(), Kv { data: data.clone(), stamp, permit });
+            self.store.keys.insert(
+                key.clone(),
+                Kv {
+                    data: data.clone(),
+                    stamp,
+                    permit,
+                },
+            );
             self.push_change(&key, Some(data));
         }
         (200, map(&[("ledgerRev", i(self.store.rev))]))
@@ -888,7 +1036,10 @@
 
     fn list_now(&self) -> Vec<(String, V)> {
         let now = Instant::now();
-        let machines = self.machines.values().filter(|machine| machine.gone_at.is_none() || machine.died_at.is_some());
+        let machines = self
+            .machines
+            .values()
+            .filter(|machine| machine.gone_at.is_none() || machine.died_at.is_some());
         machines
             .map(|machine| {
                 let has_failed = machine.died_at.is_some_and(|at| at.elapsed() > S(30.0));
@@ -897,7 +1048,9 @@
                     Some(_) => "running",
                     None => "starting",
                 };
-                let endpoint = machine.endpoint.map_or(V::Null, |endpoint| t(&endpoint.to_string()));
+                let endpoint = machine
+                    .endpoint
+                    .map_or(V::Null, |endpoint| t(&endpoint.to_string()));
                 let age = now.duration_since(machine.rented_at).as_secs_f64();
                 let entry = map(&[
                     ("nameId", t(&machine.name)),
@@ -930,7 +1083,10 @@
                     ("hourly", V::Num(flavor.hourly)),
                     ("spotPrice", V::Num(flavor.spot_price)),
                     ("bootS", V::Num(flavor.boot_s)),
-                    ("halls", V::List(flavor.halls.iter().map(|hall| t(hall)).collect())),
+                    (
+                        "halls",
+                        V::List(flavor.halls.iter().map(|hall| t(hall)).collect()),
+                    ),
                 ])
             });
             return (200, map(&[("flavors", V::List(flavors.collect()))]));
@@ -938,15 +1094,28 @@
         if request.method == "GET" {
             let lag = S(self.config.list_lag_s);
             let shown = self.lists.iter().rev().find(|(at, _)| at.elapsed() >= lag);
-            let from = request.path.split_once("from=").map_or("", |parts| parts.1.split('&').next().unwrap_or(""));
+            let from = request
+                .path
+                .split_once("from=")
+                .map_or("", |parts| parts.1.split('&').next().unwrap_or(""));
             let machines = shown.map_or(vec![], |(_, list)| list.clone());
-            let machines = machines.into_iter().filter(|(name, _)| from.is_empty() || name.as_str() > from);
+            let machines = machines
+                .into_iter()
+                .filter(|(name, _)| from.is_empty() || name.as_str() > from);
             let hosts = machines.map(|(_, entry)| entry).collect();
-            return (200, map(&[("hosts", V::List(hosts)), ("truncated", V::Bool(false))]));
+            return (
+                200,
+                map(&[("hosts", V::List(hosts)), ("truncated", V::Bool(false))]),
+            );
         }
         let body = decode(&request.body).unwrap_or(V::Null);
         if path == "/machines/delete" {
-            let names: Vec<String> = body.get("hosts").list().iter().map(|name| name.text().to_string()).collect();
+            let names: Vec<String> = body
+                .get("hosts")
+                .list()
+                .iter()
+                .map(|name| name.text().to_string())
+                .collect();
             self.note(format!("cloud: node {node} deletes {names:?}"));
             for name in names {
                 if let Some(machine) = self.machines.get_mut(&name) {
@@ -961,14 +1130,25 @@
         if let Some(answer) = self.bookings.get(&booking) {
             return answer.clone();
         }
-        let (sku, hall) = (body.get("flavor").text().to_string(), body.get("hall").text().to_string());
+        let (sku, hall) = (
+            body.get("flavor").text().to_string(),
+            body.get("hall").text().to_string(),
+        );
         let spot = *body.get("loaner") == V::Bool(true);
-        let Some(index) = self.config.flavors.iter().position(|flavor| flavor.sku == sku) else {
+        let Some(index) = self
+            .config
+            .flavors
+            .iter()
+            .position(|flavor| flavor.sku == sku)
+        else {
             return (400, V::Null);
         };
         let flavor = self.config.flavors[index].clone();
         let used = self.machines.values().filter(|machine| {
-            machine.gone_at.is_none() && machine.flavor == sku && machine.hall == hall && machine.spot == spot
+            machine.gone_at.is_none()
+                && machine.flavor == sku
+                && machine.hall == hall
+                && machine.spot == spot
         });
         let most = if spot { flavor.spot } else { flavor.count };
         let free = most.saturating_sub(used.count() as u64);
@@ -1007,7 +1187,10 @@
             };
             self.machines.insert(name, machine);
         }
-        self.note(format!("cloud: node {node} rents {count} {sku} in {hall}, spot {spot}, {booking}: {}", V::List(hosts.clone()).json()));
+        self.note(format!(
+            "cloud: node {node} rents {count} {sku} in {hall}, spot {spot}, {booking}: {}",
+            V::List(hosts.clone()).json()
+        ));
         let answer = (200, map(&[("hosts", V::List(hosts))]));
         self.bookings.insert(booking, answer.clone());
         answer
@@ -1015,7 +1198,9 @@
 
     /// The report of a worker, with the next serial number.
     pub fn report(&mut self, name: &str) -> V {
-        let Some(machine) = self.machines.get_mut(name) else { return V::Null };
+        let Some(machine) = self.machines.get_mut(name) else {
+            return V::Null;
+        };
         machine.serial += 1;
         let pieces = machine.tasks.values().map(|task| {
             let mut fields = vec![
@@ -1031,7 +1216,9 @@
             }
             map(&fields)
         });
-        let endpoint = machine.endpoint.map_or(String::new(), |endpoint| endpoint.to_string());
+        let endpoint = machine
+            .endpoint
+            .map_or(String::new(), |endpoint| endpoint.to_string());
         map(&[
             ("host", t(&machine.name)),
             ("endpoint", t(&endpoint)),
@@ -1048,32 +1235,51 @@
 
     fn execute(&mut self, name: &str, orders: &[V], how: &str) {
         for order in orders {
-            let (verb, piece) = (order.get("verb").text().to_string(), order.get("piece").text().to_string());
+            let (verb, piece) = (
+                order.get("verb").text().to_string(),
+                order.get("piece").text().to_string(),
+            );
             let attempt = order.get("try").int();
-            let Some((job, number)) = piece.rsplit_once('/') else { continue };
+            let Some((job, number)) = piece.rsplit_once('/') else {
+                continue;
+            };
             let number: u64 = number.parse().unwrap_or(0);
             let epoch = self.machines[name].epoch;
-            self.note(format!("{name}: {verb} {piece} try {attempt} ({how}, token {epoch}) {}", order.get("windDownS").json()));
+            self.note(format!(
+                "{name}: {verb} {piece} try {attempt} ({how}, token {epoch}) {}",
+                order.get("windDownS").json()
+            ));
             match verb.as_str() {
                 "start" => self.start_task(name, job, number, &piece, attempt),
                 "clear" => {
                     let machine = self.machines.get_mut(name).expect("the machine");
                     let key = (piece, attempt);
-                    if machine.tasks.get(&key).is_some_and(|task| task.state == "ended") {
+                    if machine
+                        .tasks
+                        .get(&key)
+                        .is_some_and(|task| task.state == "ended")
+                    {
                         machine.tasks.remove(&key);
                         machine.dirty = true;
                     }
                 }
                 _ => {
                     let grace = order.get("windDownS").num();
-                    let saves = self.jobs.get(job).is_some_and(|job| job.spec.get("snapshotEveryS").num() > 0.0);
-                    let save_s = self.jobs.get(job).map_or(0.0, |job| job.spec.get("snapshotS").num());
+                    let saves = self
+                        .jobs
+                        .get(job)
+                        .is_some_and(|job| job.spec.get("snapshotEveryS").num() > 0.0);
+                    let save_s = self
+                        .jobs
+                        .get(job)
+                        .map_or(0.0, |job| job.spec.get("snapshotS").num());
                     let machine = self.machines.get_mut(name).expect("the machine");
                     if let Some(task) = machine.tasks.get_mut(&(piece, attempt)) {
                         if task.state == "running" && saves && grace >= save_s {
                             task.state = "flushing";
                             task.flush_until = Instant::now() + S(save_s);
-                        } else if task.state == "ended" || (task.state == "flushing" && grace > 0.0) {
+                        } else if task.state == "ended" || (task.state == "flushing" && grace > 0.0)
+                        {
                             // Nothing to do.
                         } else {
                             task.state = "ended";
@@ -1089,7 +1295,11 @@
 
     fn start_task(&mut self, name: &str, job: &str, number: u64, piece: &str, attempt: u64) {
         let now = Instant::now();
-        let known = self.jobs.get(job).filter(|known| number < known.pieces()).cloned();
+        let known = self
+            .jobs
+            .get(job)
+            .filter(|known| number < known.pieces())
+            .cloned();
         let flavor = self.flavor(&self.machines[name].flavor.clone());
         let machine = &self.machines[name];
         if machine.tasks.contains_key(&(piece.to_string(), attempt)) {
@@ -1097,7 +1307,11 @@
         }
         let need = |job: &Job| {
             let spec = &job.spec;
-            (spec.get("cores").num(), spec.get("gpus").num(), spec.get("memGb").num())
+            (
+                spec.get("cores").num(),
+                spec.get("gpus").num(),
+                spec.get("memGb").num(),
+            )
         };
         let mut free = (flavor.cores, flavor.gpus, flavor.mem);
         for task in machine.tasks.values().filter(|task| task.state != "ended") {
@@ -1119,7 +1333,10 @@
             left_s: 0.0,
             flush_until: now,
         };
-        let busy = machine.tasks.values().any(|task| task.job == job && task.number == number && task.state != "ended");
+        let busy = machine
+            .tasks
+            .values()
+            .any(|task| task.job == job && task.number == number && task.state != "ended");
         if let Some(known) = &known {
             let used = need(known);
             if busy {
@@ -1128,7 +1345,11 @@
                 task.cause = "full";
             } else {
                 let bundle = known.spec.get("bundle").text();
-                let fetch = if machine.images.contains(bundle) { 0.0 } else { known.spec.get("imageGb").num() / machine.fetch };
+                let fetch = if machine.images.contains(bundle) {
+                    0.0
+                } else {
+                    known.spec.get("imageGb").num() / machine.fetch
+                };
                 task.state = "pulling";
                 task.cause = "";
                 task.image_at = now + S(fetch);
@@ -1136,7 +1357,10 @@
             }
         }
         if task.state == "ended" {
-            self.note(format!("{name}: start of {piece} try {attempt} refused: {}", task.cause));
+            self.note(format!(
+                "{name}: start of {piece} try {attempt} refused: {}",
+                task.cause
+            ));
         }
         let machine = self.machines.get_mut(name).expect("the machine");
         machine.tasks.insert((piece.to_string(), attempt), task);
@@ -1146,7 +1370,9 @@
     fn tick_tasks(&mut self, now: Instant) {
         let names: Vec<String> = self.machines.keys().cloned().collect();
         for name in names {
-            let Some(machine) = self.machines.get_mut(&name) else { continue };
+            let Some(machine) = self.machines.get_mut(&name) else {
+                continue;
+            };
             if machine.gone_at.is_some() {
                 continue;
             }
@@ -1156,7 +1382,9 @@
                 self.note(format!("{name} goes on"));
             }
             let machine = &self.machines[&name];
-            if machine.hung_until.is_some() || machine.answered_at.elapsed() > S(self.config.lease_s) {
+            if machine.hung_until.is_some()
+                || machine.answered_at.elapsed() > S(self.config.lease_s)
+            {
                 continue;
             }
             let keys: Vec<(String, u64)> = machine.tasks.keys().cloned().collect();
@@ -1167,13 +1395,24 @@
     }
 
     fn tick_task(&mut self, name: &str, key: &(String, u64), now: Instant) {
-        let Some(task) = self.machines.get(name).and_then(|machine| machine.tasks.get(key)).cloned() else { return };
-        let Some(job) = self.jobs.get(&task.job).cloned() else { return };
+        let Some(task) = self
+            .machines
+            .get(name)
+            .and_then(|machine| machine.tasks.get(key))
+            .cloned()
+        else {
+            return;
+        };
+        let Some(job) = self.jobs.get(&task.job).cloned() else {
+            return;
+        };
         let mut next = task.clone();
         match task.state {
             "pulling" if now >= task.image_at => {
                 let machine = self.machines.get_mut(name).expect("the machine");
-                machine.images.insert(job.spec.get("bundle").text().to_string());
+                machine
+                    .images
+                    .insert(job.spec.get("bundle").text().to_string());
                 next.on_machine = true;
                 next.since = now;
                 self.check_start(name, &task, &job);
@@ -1187,7 +1426,10 @@
             }
             "gathering" => {
                 let mates = self.mates(&task);
-                let ready = mates.iter().filter(|mate| mate.1 == "gathering" || mate.1 == "running").count() as u64;
+                let ready = mates
+                    .iter()
+                    .filter(|mate| mate.1 == "gathering" || mate.1 == "running")
+                    .count() as u64;
                 if ready == job.pieces() {
                     next.state = "running";
                     next.since = now;
@@ -1233,9 +1475,17 @@
     /// The live tasks of a gang's attempt on all machines: (machine, state).
     fn mates(&self, task: &Task) -> Vec<(String, &'static str)> {
         let mut mates = Vec::new();
-        for machine in self.machines.values().filter(|machine| machine.gone_at.is_none()) {
+        for machine in self
+            .machines
+            .values()
+            .filter(|machine| machine.gone_at.is_none())
+        {
             for other in machine.tasks.values() {
-                if other.job == task.job && other.attempt == task.attempt && other.on_machine && machine.hung_until.is_none() {
+                if other.job == task.job
+                    && other.attempt == task.attempt
+                    && other.on_machine
+                    && machine.hung_until.is_none()
+                {
                     mates.push((machine.name.clone(), other.state));
                 }
             }
@@ -1255,7 +1505,10 @@
         let others = self.on_machines(&task.job);
         for (other, number) in &others {
             if *number == task.number && other != name {
-                self.breaks("ran_twice", format!("{piece} starts on {name} while it is on {other}"));
+                self.breaks(
+                    "ran_twice",
+                    format!("{piece} starts on {name} while it is on {other}"),
+                );
             }
         }
         let spec = &job.spec;
@@ -1263,42 +1516,91 @@
         let allowed = flavors.is_null() || flavors.list().iter().any(|item| item.text() == flavor);
         let hall_fits = spec.get("hall").is_null() || spec.get("hall").text() == hall;
         let kind_fits = !spot || *spec.get("loaner") == V::Bool(true);
-        let halls: Vec<String> = others.iter().filter(|(other, number)| !(other == name && *number == task.number)).map(|(other, _)| self.machines[other].hall.clone()).collect();
-        let together = *spec.get("samePlace") != V::Bool(true) || halls.iter().all(|other| *other == hall);
+        let halls: Vec<String> = others
+            .iter()
+            .filter(|(other, number)| !(other == name && *number == task.number))
+            .map(|(other, _)| self.machines[other].hall.clone())
+            .collect();
+        let together =
+            *spec.get("samePlace") != V::Bool(true) || halls.iter().all(|other| *other == hall);
         let same = halls.iter().filter(|other| **other == hall).count() as u64 + 1;
         let spread = *spec.get("scatter") != V::Bool(true) || same <= job.pieces().div_ceil(2);
         if !(allowed && hall_fits && kind_fits && together && spread) {
-            self.breaks("wrong_place", format!("{piece} starts on {name} ({flavor}, {hall}, spot {spot}); others in {halls:?}"));
+            self.breaks(
+                "wrong_place",
+                format!(
+                    "{piece} starts on {name} ({flavor}, {hall}, spot {spot}); others in {halls:?}"
+                ),
+            );
         }
         for needed in spec.get("waitsOn").list() {
-            let all_done = self.jobs.get(needed.text()).is_some_and(|other| other.done.len() as u64 == other.pieces());
+            let all_done = self
+                .jobs
+                .get(needed.text())
+                .is_some_and(|other| other.done.len() as u64 == other.pieces());
             if !all_done {
-                self.breaks("too_early", format!("{piece} starts before {} is done", needed.text()));
+                self.breaks(
+                    "too_early",
+                    format!("{piece} starts before {} is done", needed.text()),
+                );
             }
         }
         if let Some(told) = job.told_cancelled {
             if told.elapsed() > S(self.config.cancel_s) {
-                self.breaks("ran_cancelled", format!("{piece} starts {:.1} s after its user was told that it is cancelled", told.elapsed().as_secs_f64()));
+                self.breaks(
+                    "ran_cancelled",
+                    format!(
+                        "{piece} starts {:.1} s after its user was told that it is cancelled",
+                        told.elapsed().as_secs_f64()
+                    ),
+                );
             } else if told.elapsed() > S(3.0) {
-                self.note(format!("NOTE {piece} starts {:.1} s after the confirmed cancellation", told.elapsed().as_secs_f64()));
+                self.note(format!(
+                    "NOTE {piece} starts {:.1} s after the confirmed cancellation",
+                    told.elapsed().as_secs_f64()
+                ));
             }
         }
-        self.check_quota(spec.get("owner").text().to_string(), (spec.get("cores").num(), spec.get("gpus").num()), &piece);
+        self.check_quota(
+            spec.get("owner").text().to_string(),
+            (spec.get("cores").num(), spec.get("gpus").num()),
+            &piece,
+        );
     }
 
     fn check_quota(&mut self, team: String, own: (f64, f64), piece: &str) {
-        let Some((_, _, cpus_max, _, gpus_max)) = self.config.teams.iter().find(|known| known.0 == team).copied() else { return };
+        let Some((_, _, cpus_max, _, gpus_max)) = self
+            .config
+            .teams
+            .iter()
+            .find(|known| known.0 == team)
+            .copied()
+        else {
+            return;
+        };
         let (mut cores, mut gpus) = own;
-        for machine in self.machines.values().filter(|machine| machine.gone_at.is_none()) {
+        for machine in self
+            .machines
+            .values()
+            .filter(|machine| machine.gone_at.is_none())
+        {
             for task in machine.tasks.values().filter(|task| task.on_machine) {
-                if let Some(job) = self.jobs.get(&task.job).filter(|job| job.spec.get("owner").text() == team) {
+                if let Some(job) = self
+                    .jobs
+                    .get(&task.job)
+                    .filter(|job| job.spec.get("owner").text() == team)
+                {
                     cores += job.spec.get("cores").num();
                     gpus += job.spec.get("gpus").num();
                 }
             }
         }
-        if (cpus_max > 0.0 && cores > cpus_max + 1e-6) || (gpus_max > 0.0 && gpus > gpus_max + 1e-6) {
-            self.breaks("quota", format!("team {team} uses {cores} cores and {gpus} gpus with {piece}"));
+        if (cpus_max > 0.0 && cores > cpus_max + 1e-6) || (gpus_max > 0.0 && gpus > gpus_max + 1e-6)
+        {
+            self.breaks(
+                "quota",
+                format!("team {team} uses {cores} cores and {gpus} gpus with {piece}"),
+            );
         }
     }
 
@@ -1307,12 +1609,20 @@
         let late: Vec<String> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.told_cancelled.is_some_and(|told| told.elapsed() > limit))
+            .filter(|(_, job)| {
+                job.told_cancelled
+                    .is_some_and(|told| told.elapsed() > limit)
+            })
             .map(|(id, _)| id.clone())
             .collect();
         for id in late {
             let left = self.on_machines(&id);
-            if !left.is_empty() && !self.broken.iter().any(|(rule, text)| rule == "ran_cancelled" && text.contains(&id)) {
+            if !left.is_empty()
+                && !self
+                    .broken
+                    .iter()
+                    .any(|(rule, text)| rule == "ran_cancelled" && text.contains(&id))
+            {
                 self.breaks("ran_cancelled", format!("{id}: tasks {left:?} are on machines more than cancel_s after the user was told"));
             }
         }
--- a/review/standin-2/wire.rs
+++ b/review/standin-2/wire.rs
@@ -27,7 +27,11 @@
         &V::Null
     }
     pub fn text(&self) -> &str {
-        if let V::Text(text) = self { text } else { "" }
+        if let V::Text(text) = self {
+            text
+        } else {
+            ""
+        }
     }
     pub fn int(&self) -> u64 {
         match self {
@@ -44,7 +48,11 @@
         }
     }
     pub fn list(&self) -> &[V] {
-        if let V::List(items) = self { items } else { &[] }
+        if let V::List(items) = self {
+            items
+        } else {
+            &[]
+        }
     }
     pub fn is_null(&self) -> bool {
         matches!(self, V::Null)
@@ -67,8 +75,10 @@
                 format!("[{}]", items.join(","))
             }
             V::Map(fields) => {
-                let fields: Vec<String> =
-                    fields.iter().map(|(key, value)| format!("{key:?}:{}", value.json())).collect();
+                let fields: Vec<String> = fields
+                    .iter()
+                    .map(|(key, value)| format!("{key:?}:{}", value.json()))
+                    .collect();
                 format!("{{{}}}", fields.join(","))
             }
         }
@@ -76,7 +86,12 @@
 }
 
 pub fn map(fields: &[(&str, V)]) -> V {
-    V::Map(fields.iter().map(|(key, value)| (key.to_string(), value.clone())).collect())
+    V::Map(
+        fields
+            .iter()
+            .map(|(key, value)| (key.to_string(), value.clone()))
+            .collect(),
+    )
 }
 pub fn t(text: &str) -> V {
     V::Text(text.to_string())
@@ -149,7 +164,10 @@
     let mut take = |count: usize| -> Option<u64> {
         let part = bytes.get(*at..*at + count)?;
         *at += count;
-        Some(part.iter().fold(0u64, |sum, byte| sum << 8 | u64::from(*byte)))
+        Some(
+            part.iter()
+                .fold(0u64, |sum, byte| sum << 8 | u64::from(*byte)),
+        )
     };
     let indefinite = info == 31;
     let number = match info {
@@ -250,7 +268,9 @@
             }
             let mut length = 0;
             for line in lines {
-                let Some((name, value)) = line.split_once(':') else { continue };
+                let Some((name, value)) = line.split_once(':') else {
+                    continue;
+                };
                 match name.to_ascii_lowercase().as_str() {
                     "content-length" => length = value.trim().parse().ok()?,
                     "connection" => message.closes = value.trim().eq_ignore_ascii_case("close"),
@@ -265,7 +285,9 @@
         }
         if let Some(deadline) = deadline {
             let left = deadline.checked_duration_since(Instant::now())?;
-            socket.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+            socket
+                .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+                .ok()?;
         }
         match socket.read(&mut part) {
             Ok(0) => return None,
@@ -287,7 +309,13 @@
 }
 
 /// One request on a connection of its own.
-pub fn call(to: SocketAddr, method: &str, path: &str, body: &[u8], limit: Duration) -> Option<Message> {
+pub fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    limit: Duration,
+) -> Option<Message> {
     let started = Instant::now();
     let mut socket = TcpStream::connect_timeout(&to, limit.min(Duration::from_millis(500))).ok()?;
     let _ = socket.set_nodelay(true);
@@ -305,7 +333,14 @@
     }
     /// Sends a request, on the kept connection if it leads to the same address. `None`: no answer;
     /// the connection is closed then.
-    pub fn call(&mut self, to: SocketAddr, method: &str, path: &str, body: &[u8], limit: Duration) -> Option<Message> {
+    pub fn call(
+        &mut self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        limit: Duration,
+    ) -> Option<Message> {
         let started = Instant::now();
         if self.0.as_ref().is_none_or(|(address, _)| *address != to) {
             let socket = TcpStream::connect_timeout(&to, Duration::from_millis(500)).ok()?;
@@ -315,7 +350,9 @@
         let (_, socket) = self.0.as_mut()?;
         let sent = socket.write_all(&request_bytes(method, path, body)).ok();
         let left = limit.checked_sub(started.elapsed());
-        let answer = sent.and(left).and_then(|left| read_message(socket, Some(left)));
+        let answer = sent
+            .and(left)
+            .and_then(|left| read_message(socket, Some(left)));
         if answer.as_ref().is_none_or(|answer| answer.closes) {
             self.0 = None;
         }
@@ -327,7 +364,7 @@
 pub type Answer = Option<(u16, V)>;
 
 /// Serves requests on a free loopback port, each connection on a thread of its own. The handler
-/// gets the number of ms since the connection was accepted as well.
+/// gets the time at which the connection was accepted as well.
 pub fn serve(handle: impl Fn(&Message, Instant) -> Answer + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
     let address = listener.local_addr().expect("no address");
@@ -336,20 +373,31 @@
         for socket in listener.incoming().flatten() {
             let handle = handle.clone();
             let accepted = Instant::now();
-            let _ = std::thread::Builder::new().stack_size(256 * 1024).spawn(move || {
-                let mut socket = socket;
-                let _ = socket.set_nodelay(true);
-                while let Some(request) = read_message(&mut socket, None) {
-                    let Some((status, body)) = handle(&request, accepted) else { return };
-                    let body = if body.is_null() { Vec::new() } else { body.encode() };
-                    let mut bytes =
-                        format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
-                    bytes.extend_from_slice(&body);
-                    if socket.write_all(&bytes).is_err() {
-                        return;
+            let _ = std::thread::Builder::new()
+                .stack_size(256 * 1024)
+                .spawn(move || {
+                    let mut socket = socket;
+                    let _ = socket.set_nodelay(true);
+                    while let Some(request) = read_message(&mut socket, None) {
+                        let Some((status, body)) = handle(&request, accepted) else {
+                            return;
+                        };
+                        let body = if body.is_null() {
+                            Vec::new()
+                        } else {
+                            body.encode()
+                        };
+                        let mut bytes = format!(
+                            "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
+                            body.len()
+                        )
+                        .into_bytes();
+                        bytes.extend_from_slice(&body);
+                        if socket.write_all(&bytes).is_err() {
+                            return;
+                        }
                     }
-                }
-            });
+                });
         }
     });
     address
@@ -360,10 +408,14 @@
 pub fn free_port() -> u16 {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let clock = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let first = std::process::id().wrapping_mul(7919) ^ clock.map_or(0, |clock| clock.subsec_micros());
+    let first =
+        std::process::id().wrapping_mul(7919) ^ clock.map_or(0, |clock| clock.subsec_micros());
     loop {
         let next = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let port = match std::env::var("REVIEW_PORTS").ok().and_then(|first| first.parse::<u16>().ok()) {
+        let port = match std::env::var("REVIEW_PORTS")
+            .ok()
+            .and_then(|first| first.parse::<u16>().ok())
+        {
             Some(first) => first + next as u16,
             None => 11_000 + (first.wrapping_add(next.wrapping_mul(37)) % 20_000) as u16,
         };
